--- a/packages/connection/routing_strategy.cpp
+++ b/packages/connection/routing_strategy.cpp
@@ -9,7 +9,7 @@
         return "unknown_service";
     case drop_reason::NoIntent:
         return "no_intent";
-    case drop_reason::NoBackendServer:
+    case drop_reason::NoServerAvailable:
         return "no_backend_server";
     case drop_reason::PartitionSuspected:
         return "partition_suspected";
--- a/packages/connection/routing_strategy.h
+++ b/packages/connection/routing_strategy.h
@@ -17,7 +17,7 @@
 enum class drop_reason : std::uint8_t {
     UnknownService, ///< No service owns the destination address, protocol and port.
     NoIntent, ///< This instance has no release note in force yet.
-    NoBackendServer, ///< The service has no backend server that may receive the packet.
+    NoServerAvailable, ///< The service has no backend server that may receive the packet.
     PartitionSuspected, ///< Its home or backend server is on the other side of a suspected
                         ///< partition.
     HopLimit, ///< A first packet that has already been relayed twice.
