--- a/packages/connection/cluster_view.h
+++ b/packages/connection/cluster_view.h
@@ -35,6 +35,10 @@
     std::vector<member> members; ///< Ordered by id; contains self.
     /** Failure domains whose members all fell silent together; possibly cut off, not crashed. */
     std::vector<failure_domain_id> suspectedPartitions;
+    /** False from a start or a jump of the monotonic clock until peers have confirmed the view. */
+    bool isFresh = true;
+    /** Silence of a member beyond this limit means that its heartbeat is not fresh. */
+    duration freshnessLimit = std::chrono::seconds(2);
 };
 
 } // namespace ebonyway
--- /dev/null
+++ b/tests/process/control_fleet.cpp
@@ -0,0 +1,224 @@
+#include "process/control_fleet.h"
+
+#include <algorithm>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration TickPeriod = 100ms;
+constexpr std::size_t HeaderBytes = 28; ///< IPv4 and UDP.
+constexpr std::uint16_t GossipPort = 7000;
+constexpr std::uint32_t SeedCount = 3; ///< Instances 1..3 are the seeds in everyone's settings.
+constexpr std::uint32_t BaseAddress = 0x0a000000;
+
+} // namespace
+
+control_fleet::control_fleet(std::uint64_t seed, network_settings settings)
+    : network(settings)
+    , m_random(seed)
+    , m_seed(seed)
+{ }
+
+endpoint control_fleet::endpointOf(std::uint32_t id)
+{
+    return {ip_address::fromV4(BaseAddress + id), GossipPort};
+}
+
+control_settings control_fleet::settingsOf(std::uint32_t id, const std::string &domain,
+                                           std::uint64_t incarnation, std::uint64_t seed)
+{
+    control_settings settings;
+    settings.membership.self = instance_id{id};
+    settings.membership.incarnation = incarnation;
+    settings.membership.profile = {domain, endpointOf(id).address, GossipPort, 7001, 7002, 7003};
+    for (std::uint32_t seedId = 1; seedId <= SeedCount; ++seedId) {
+        settings.membership.seeds.push_back(endpointOf(seedId));
+    }
+    settings.deploymentKey.assign(32, std::byte{0x5a});
+    settings.seed = seed * 1000003 + id * 1009 + incarnation;
+    return settings;
+}
+
+void control_fleet::start(std::uint32_t id, const std::string &domain)
+{
+    fleet_node &added = m_nodes[id];
+    added = fleet_node{};
+    const std::uint64_t incarnation = m_incarnations[id] += 100;
+    added.core = std::make_unique<control_core>(settingsOf(id, domain, incarnation, m_seed), m_now);
+    added.domain = domain;
+    added.isRunning = true;
+    const duration phase{static_cast<std::int64_t>(m_random.below(duration(TickPeriod).count()))};
+    schedule(m_now + phase, [this, id, incarnation] { scheduleTick(id, incarnation); });
+}
+
+void control_fleet::startMany(std::uint32_t count)
+{
+    for (std::uint32_t id = 1; id <= count; ++id) {
+        start(id, "domain-" + std::to_string(id % 3));
+    }
+}
+
+void control_fleet::kill(std::uint32_t id)
+{
+    node(id).isRunning = false;
+}
+
+void control_fleet::freeze(std::uint32_t id, duration time)
+{
+    node(id).frozenUntil = m_now + time;
+}
+
+void control_fleet::cut(std::function<bool(std::uint32_t, std::uint32_t)> isCut)
+{
+    m_isCut = std::move(isCut);
+}
+
+void control_fleet::heal()
+{
+    m_isCut = nullptr;
+}
+
+void control_fleet::schedule(time_point at, std::function<void()> run)
+{
+    m_queue.push({at, m_eventCount++, std::move(run)});
+}
+
+void control_fleet::run(duration time)
+{
+    const time_point end = m_now + time;
+    while (!m_queue.empty() && m_queue.top().at <= end) {
+        const event next = m_queue.top();
+        m_queue.pop();
+        m_now = next.at;
+        next.run();
+    }
+    m_now = end;
+}
+
+void control_fleet::scheduleTick(std::uint32_t id, std::uint64_t incarnation)
+{
+    fleet_node &ticking = node(id);
+    if (!ticking.isRunning || incarnation != m_incarnations[id]) {
+        return;
+    }
+    if (m_now < ticking.frozenUntil) {
+        schedule(ticking.frozenUntil, [this, id, incarnation] { scheduleTick(id, incarnation); });
+        return;
+    }
+    ticking.core->onTick(m_now);
+    carryOut(id);
+    schedule(m_now + TickPeriod, [this, id, incarnation] { scheduleTick(id, incarnation); });
+}
+
+bool control_fleet::isReachable(std::uint32_t from, std::uint32_t to) const
+{
+    return !m_isCut || !m_isCut(from, to);
+}
+
+void control_fleet::transmit(std::uint32_t from, std::uint32_t to,
+                             const std::vector<std::byte> &bytes)
+{
+    if (!isReachable(from, to) || m_random.unit() < network.loss) {
+        return;
+    }
+    const int copies = m_random.unit() < network.duplication ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        const auto jitter = static_cast<std::int64_t>(m_random.below(network.jitter.count() + 1));
+        schedule(m_now + network.delay + duration{jitter},
+                 [this, from, to, bytes] { deliver(from, to, bytes); });
+    }
+}
+
+void control_fleet::inject(std::uint32_t from, std::uint32_t to, std::vector<std::byte> bytes)
+{
+    deliver(from, to, std::move(bytes));
+}
+
+void control_fleet::deliver(std::uint32_t from, std::uint32_t to, std::vector<std::byte> bytes)
+{
+    const auto place = m_nodes.find(to);
+    if (place == m_nodes.end() || !place->second.isRunning) {
+        return;
+    }
+    if (m_now < place->second.frozenUntil) {
+        schedule(place->second.frozenUntil, [this, from, to, bytes] { deliver(from, to, bytes); });
+        return;
+    }
+    place->second.core->onDatagram(endpointOf(from), bytes, m_now);
+    carryOut(to);
+}
+
+void control_fleet::carryOut(std::uint32_t id)
+{
+    for (control_action &action : node(id).core->takeActions()) {
+        carryOut(id, action);
+    }
+}
+
+void control_fleet::carryOut(std::uint32_t id, control_action &action)
+{
+    fleet_node &acting = node(id);
+    if (auto *datagram = std::get_if<send_datagram>(&action)) {
+        acting.wireBytesSent += datagram->bytes.size() + HeaderBytes;
+        acting.datagramsSent++;
+        transmit(id, datagram->to.address.toV4() - BaseAddress, datagram->bytes);
+    } else if (auto *view = std::get_if<publish_view>(&action)) {
+        acting.view = std::move(view->view);
+    } else if (auto *log = std::get_if<log_event>(&action)) {
+        acting.events[log->name]++;
+    } else if (auto *message = std::get_if<deliver_engine_message>(&action)) {
+        acting.engineMessages.emplace_back(message->from, std::move(message->bytes));
+    } else if (auto *load = std::get_if<deliver_load_report>(&action)) {
+        acting.loads.push_back(load->report);
+    } else if (auto *targets = std::get_if<set_probe_targets>(&action)) {
+        acting.probeTargets = targets->backendServers;
+    }
+}
+
+fleet_node &control_fleet::node(std::uint32_t id)
+{
+    return m_nodes.at(id);
+}
+
+std::vector<std::uint32_t> control_fleet::running() const
+{
+    std::vector<std::uint32_t> ids;
+    for (const auto &[id, running] : m_nodes) {
+        if (running.isRunning) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+member_state control_fleet::stateSeen(std::uint32_t observer, std::uint32_t id)
+{
+    for (const member &seen : node(observer).view.members) {
+        if (seen.id == instance_id{id}) {
+            return seen.state;
+        }
+    }
+    return member_state::Dead;
+}
+
+bool control_fleet::hasConverged()
+{
+    const std::vector<std::uint32_t> expected = running();
+    for (const std::uint32_t observer : expected) {
+        std::vector<std::uint32_t> live;
+        for (const member &seen : node(observer).view.members) {
+            if (seen.state != member_state::Dead && seen.state != member_state::Suspect) {
+                live.push_back(seen.id.value);
+            }
+        }
+        if (live != expected) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace ebonyway
