Implement intent lookups, slot tables and route plans

Cause: routing needs a table per service that follows the weights exactly, moves only what a change requires and is the same on every instance.

Ruled out: plain rendezvous hashing, because its shares vary by several percent; one history vector per slot, because at the large size the empty vectors alone take 24 bytes for each of 470,000 slots; an unlimited history of 8 targets per slot, because it outgrows 32 MB.

Change: quotas by largest remainder in integers, with ties going to the current holders. Surplus slots are chosen by their latest former target first, then by rendezvous scores, so a returning failure domain gets its slots back. The history is one vector per table, limited to 8 targets per slot and to targets replaced in the last 2,048 notes. targetAt() answers nothing for older notes. Plans share unchanged tables. NOLINT in ids.h: clang-tidy 14 reports the zero of a rewritten comparison as a null pointer.

--- a/packages/core/ids.h
+++ b/packages/core/ids.h
@@ -14,7 +14,8 @@
 
     Rep value = 0;
 
-    constexpr auto operator<=>(const strong_id &) const = default;
+    // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+    constexpr auto operator<=>(const strong_id &) const = default; // NOLINT(modernize-use-nullptr)
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/version/intent.h
+++ b/packages/version/intent.h
@@ -20,6 +20,8 @@
 {
     double goodFlowRatio = 0.999; ///< Share of flows that must be good, in (0, 1).
     std::chrono::seconds window{30 * 24 * 3600}; ///< Length of the budget period.
+
+    bool operator==(const service_objective &) const = default;
 };
 
 /** A service as it is in force. */
@@ -32,6 +34,8 @@
     std::uint16_t port = 0;
     std::chrono::seconds idleTimeout{900}; ///< A flow silent for longer has ended.
     service_objective objective;
+
+    bool operator==(const service &) const = default;
 };
 
 /** A backend server as it is in force. */
@@ -47,6 +51,8 @@
     std::uint32_t connectionLimit = 2000; ///< Most open flows it can hold.
     std::uint32_t slotLimit = 4; ///< Most requests it works on at the same time.
     bool draining = false; ///< Gets no new flows; its open flows run out.
+
+    bool operator==(const backend_server &) const = default;
 };
 
 /** A failure domain as it is in force. */
@@ -55,6 +61,8 @@
     failure_domain_id id;
     std::string name;
     bool inService = true; ///< False after operators have taken it out.
+
+    bool operator==(const failure_domain &) const = default;
 };
 
 /**
@@ -71,6 +79,8 @@
     std::uint16_t nextServiceId = 0;
     std::uint16_t nextBackendServerId = 0;
     std::uint16_t nextFailureDomainId = 0;
+
+    bool operator==(const intent &) const = default;
 };
 
 /** Returns the object with the id, or nullptr. The pointer is valid until the intent changes. */
--- a/packages/version/route_plan.h
+++ b/packages/version/route_plan.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -9,6 +12,26 @@
 
 namespace ebonyway {
 
+/** Most earlier targets that a slot table keeps per slot. */
+constexpr std::size_t EarlierTargetLimit = 8;
+
+/**
+ * Notes after which a replaced target is forgotten: about three days of changes at the large size.
+ * Without this limit, the history alone would outgrow the memory bound of the control state.
+ */
+constexpr std::uint64_t EarlierTargetNotes = 2048;
+
+/** A former target of a slot: it was the target from note `since` until the next entry or change.
+ */
+struct earlier_target
+{
+    note_number since;
+    std::uint16_t slot = 0;
+    backend_server_id target;
+
+    auto operator<=>(const earlier_target &) const = default;
+};
+
 /**
  * Slot table of one service: slot index -> backend server for new flows.
  *
@@ -22,15 +45,21 @@
     std::vector<backend_server_id> targets; ///< Size is a power of two; NoBackendServer if empty.
     std::vector<note_number> changedAt; ///< Per slot: the note that last changed its target.
     /**
-     * Per slot: the targets at earlier notes, oldest first, limited to the notes that can still
-     * matter for unsettled slots. Entry {n, b}: b was the target from note n on.
+     * Former targets of all slots, ordered by slot, then oldest first. Limited to the latest
+     * EarlierTargetLimit per slot and to targets replaced in the last EarlierTargetNotes notes.
      */
-    struct earlier_target
-    {
-        note_number since;
-        backend_server_id target;
-    };
-    std::vector<std::vector<earlier_target>> earlierTargets;
+    std::vector<earlier_target> earlierTargets;
+
+    bool operator==(const slot_table &) const = default;
+
+    /** Returns the former targets of one slot, oldest first. Valid until the table changes. */
+    std::span<const earlier_target> earlierTargetsOf(std::uint16_t index) const;
+
+    /**
+     * Returns the slot's target at an earlier note. Returns nothing if the note is older than the
+     * history; the packet of an unsettled slot must then not be forwarded by guess.
+     */
+    std::optional<backend_server_id> targetAt(std::uint16_t index, note_number at) const;
 };
 
 /** Smallest power of two that is at least 64 per backend server, within 64..65536. */
@@ -38,8 +67,7 @@
 
 /**
  * Computes the table of a service at the next intent from its previous table, or from nothing.
- * The slot count of an existing table grows only when the service has lost all of its slots'
- * history; a table keeps its size while the service exists.
+ * A table keeps its slot count while the service exists.
  */
 slot_table nextSlotTable(const slot_table *previous, const intent &next, service_id service);
 
@@ -49,9 +77,15 @@
 public:
     route_plan() = default;
 
-    /** Computes the plan of the next intent. The previous plan may be empty. */
+    /**
+     * Computes the plan of the next intent. The previous plan may be empty. Tables of services that
+     * the note does not touch are shared with the previous plan.
+     */
     route_plan(const route_plan &previous, intent next);
 
+    /** Takes over an intent and its tables from a snapshot that has been checked. */
+    route_plan(intent current, std::vector<slot_table> tables);
+
     const intent &currentIntent() const { return m_intent; }
 
     /** Returns the service that owns the address, protocol and port, if any. */
@@ -77,8 +111,11 @@
         std::size_t operator()(const service_address &address) const;
     };
 
+    void indexServices();
+
     intent m_intent;
-    std::vector<slot_table> m_tables; ///< Indexed by service id.
+    /** Indexed by service id; empty pointers for withdrawn services. Plans share the tables. */
+    std::vector<std::shared_ptr<const slot_table>> m_tables;
     std::unordered_map<service_address, service_id, service_address_hash> m_services;
 };
 
