Fix the announced exit and the linter's findings

Cause: a member that announced its exit sent itself as dead, which peers only believe after silence. Change: the own record is marked as left, so the exit is told as such.

--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "process/bounded_archive.h"
+#include "process/overloaded.h"
 #include "version/intent.h"
 
 namespace ebonyway {
@@ -20,12 +21,6 @@
 /** Replay windows of senders that are not members are dropped above this count. */
 constexpr std::size_t MaxReplayWindows = 2048;
 
-template <typename... handlers>
-struct overloaded : handlers...
-{
-    using handlers::operator()...;
-};
-
 digest_prefix prefixOf(const note_digest &digest)
 {
     digest_prefix prefix;
--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -768,6 +768,7 @@
     own.details.heartbeat = std::max(own.details.heartbeat, m_highestRound) + 1;
     m_highestRound = own.details.heartbeat;
     own.details.state = state;
+    own.hasLeft = state == announced_state::Left;
     setState(own, stateOf(state), now);
     spread(own);
     for (const member_record *peer : randomReachable(NotePushes)) {
--- a/packages/process/membership_messages.cpp
+++ b/packages/process/membership_messages.cpp
@@ -132,8 +132,8 @@
         }
     }
     std::sort(chosen.begin(), chosen.end(),
-              [](const heartbeat_entry &left_, const heartbeat_entry &right) {
-                  return left_.id < right.id;
+              [](const heartbeat_entry &first, const heartbeat_entry &second) {
+                  return first.id < second.id;
               });
     message.heartbeats = std::move(chosen);
     budget = left;
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -78,6 +78,8 @@
     for (const std::uint32_t id : fleet.running()) {
         CHECK(fleet.node(id).events["member_dead"] == 0);
     }
+    fleet.network = {};
+    fleet.run(3s);
     CHECK(fleet.hasConverged());
 }
 
