--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -10,12 +10,22 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 /** Bytes kept free for the envelope, the tag and the fixed fields of a gossip message. */
 constexpr std::size_t GossipOverhead = 100;
 /** Bytes of load summaries per gossip message; keeps room for the heartbeats at large sizes. */
 constexpr std::size_t MaxLoadBytes = 100;
 /** Backend servers are probed by the two best ranked members of their failure domain. */
 constexpr std::size_t ProbersPerBackendServer = 2;
+/** The platform is watched by the two best ranked members of each failure domain. */
+constexpr std::size_t WatchersPerDomain = 2;
+/** Ranking task of the watchers; backend server ids, the other tasks, are 16 bits wide. */
+constexpr std::uint64_t WatchTask = 0x1'0000;
+constexpr duration PlatformTimeout = 3s;
+/** How often one watcher per failure domain reads the platform's list of instances. */
+constexpr duration InstanceListPeriod = 60s;
+constexpr duration SourceReportPeriod = 2s;
 /** Stands for a failure domain that the intent in force does not name. */
 constexpr failure_domain_id UnknownFailureDomain{0xffff};
 /** Replay windows of senders that are not members are dropped above this count. */
@@ -30,18 +40,25 @@
 
 } // namespace
 
-control_core::control_core(control_settings settings, time_point now)
+control_core::control_core(control_settings settings, const intent_snapshots &snapshots,
+                           time_point now)
     : m_settings(std::move(settings))
     , m_hash(m_settings.deploymentKey)
-    , m_codec(m_settings.deploymentKey)
+    , m_datagrams(m_settings.deploymentKey)
+    , m_syncCodec(m_settings.deploymentKey)
     , m_membership(m_settings.membership, m_hash, m_settings.seed, now)
     , m_loads(m_settings.membership.self)
+    , m_sync(m_settings.membership.self, snapshots, m_settings.seed + 1, now)
+    , m_work(m_settings.membership.self, snapshots, m_settings.seed + 2, now)
+    , m_listRetry({}, m_settings.seed + 3)
+    , m_nextInstanceList(now)
+    , m_nextSourceReport(now + SourceReportPeriod)
 { }
 
 void control_core::onDatagram(const endpoint &from, std::span<const std::byte> bytes,
                               time_point now)
 {
-    auto opened = m_codec.open(bytes, m_settings.membership.self);
+    auto opened = m_datagrams.open(bytes, m_settings.membership.self);
     if (const auto *fault = std::get_if<datagram_fault>(&opened)) {
         countFault(*fault);
         return;
@@ -104,6 +121,14 @@
     if (!m_membership.onGossip(envelope.sender, envelope.incarnation, from, *message, now)) {
         return;
     }
+    if (!m_wasFresh && message->echoedNonce != 0) {
+        m_requiredNote = std::max(m_requiredNote, message->note);
+    }
+    m_sync.onPeerHead(envelope.sender, message->note, message->digest);
+    if (message->note < m_note) {
+        m_membership.sendNoteTo(from);
+    }
+    syncIntent(now);
     for (const load_report &report : m_loads.merge(*message, m_membership.liveCount())) {
         m_actions.emplace_back(deliver_load_report{report});
     }
@@ -134,14 +159,163 @@
     m_counters.faults[static_cast<std::size_t>(fault)]++;
 }
 
+result<std::vector<std::byte>> control_core::onSyncRequest(std::span<const std::byte> bytes)
+{
+    result<sync_request> request = m_syncCodec.openRequest(bytes);
+    if (!isOk(request)) {
+        return errorOf(request);
+    }
+    if (valueOf(request).recipient != m_settings.membership.self) {
+        return error{error_kind::InvalidInput, "sync request is meant for another instance",
+                     "Check the instance ids in the settings"};
+    }
+    return m_syncCodec.seal(m_sync.answer(valueOf(request)));
+}
+
+void control_core::onSyncResponse(std::uint64_t id, const result<std::vector<std::byte>> &response,
+                                  time_point now)
+{
+    if (id != m_syncId) {
+        return;
+    }
+    m_syncId = 0;
+    m_sync.onPeerResult(isOk(response) ? m_syncCodec.openResponse(valueOf(response))
+                                       : result<sync_response>{errorOf(response)},
+                        now);
+    syncIntent(now);
+}
+
+void control_core::onPlatformResult(std::uint64_t id, const result<platform_answer> &outcome,
+                                    time_point now)
+{
+    const auto place = m_calls.find(id);
+    if (place == m_calls.end()) {
+        return;
+    }
+    const call_owner owner = place->second;
+    m_calls.erase(place);
+    if (owner == call_owner::IntentSync) {
+        m_sync.onPlatformResult(outcome, now);
+        syncIntent(now);
+        return;
+    }
+    if (owner == call_owner::SingletonWork) {
+        m_work.onResult(outcome, now);
+        return;
+    }
+    if (!isOk(outcome)) {
+        m_nextInstanceList = m_listRetry.onFailure(now);
+        return;
+    }
+    m_listRetry.onSuccess();
+    m_nextInstanceList = now + InstanceListPeriod;
+    if (const auto *instances = std::get_if<platform_instances>(&valueOf(outcome))) {
+        m_membership.addHints(instances->gossipEndpoints);
+    }
+}
+
 void control_core::onTick(time_point now)
 {
     m_membership.onTick(now);
+    updateRoles(now);
+    syncIntent(now);
+    if (auto request = m_work.nextCall(m_membership, now)) {
+        call(call_owner::SingletonWork, std::move(*request), PlatformTimeout, now);
+    }
+    askForInstances(now);
+    reportNoSource(now);
     sendOrders();
-    updateProbeTargets();
     publishView();
 }
 
+void control_core::syncIntent(time_point now)
+{
+    m_sync.onTick(m_membership, now);
+    for (intent_order &order : m_sync.takeOrders()) {
+        std::visit(overloaded{[&](peer_order &peer) { askPeer(peer, now); },
+                              [&](platform_order &platform) {
+                                  call(call_owner::IntentSync, std::move(platform.request),
+                                       platform.timeout, now);
+                              },
+                              [&](auto &adoption) { m_actions.emplace_back(std::move(adoption)); }},
+                   order);
+    }
+    for (log_event &event : m_sync.takeEvents()) {
+        m_actions.emplace_back(std::move(event));
+    }
+}
+
+void control_core::askPeer(const peer_order &order, time_point now)
+{
+    m_syncId = ++m_lastId;
+    const member_record *record = m_membership.find(order.peer);
+    auto sealed = m_syncCodec.seal(order.request);
+    if (record == nullptr || !isOk(sealed)) {
+        return;
+    }
+    m_counters.syncRequests++;
+    const member_profile &profile = record->details.profile;
+    m_actions.emplace_back(send_sync_request{m_syncId,
+                                             order.peer,
+                                             {profile.address, profile.syncPort},
+                                             std::move(valueOf(sealed)),
+                                             now + order.timeout});
+}
+
+void control_core::call(call_owner owner, platform_request request, duration timeout,
+                        time_point now)
+{
+    const std::uint64_t id = ++m_lastId;
+    m_calls[id] = owner;
+    m_counters.platformCalls++;
+    m_actions.emplace_back(call_platform{id, std::move(request), now + timeout});
+}
+
+void control_core::updateRoles(time_point now)
+{
+    if (m_membership.topologyRevision() == m_rankedRevision) {
+        return;
+    }
+    m_rankedRevision = m_membership.topologyRevision();
+    const std::size_t rank = m_membership.ownRank(WatchTask);
+    m_isWatcher = rank < WatchersPerDomain;
+    m_sync.setWatcher(m_isWatcher, now);
+    m_work.setCandidate(rank == 0);
+    updateProbeTargets();
+}
+
+bool control_core::isWatcher() const
+{
+    return m_isWatcher;
+}
+
+void control_core::askForInstances(time_point now)
+{
+    if (m_membership.ownRank(WatchTask) != 0 || now < m_nextInstanceList) {
+        return;
+    }
+    m_nextInstanceList = now + InstanceListPeriod;
+    call(call_owner::InstanceList, list_instances{}, PlatformTimeout, now);
+}
+
+std::optional<std::string> control_core::noSourceReason() const
+{
+    return m_sync.noSourceReason(m_membership);
+}
+
+void control_core::reportNoSource(time_point now)
+{
+    if (now < m_nextSourceReport) {
+        return;
+    }
+    m_nextSourceReport = now + SourceReportPeriod;
+    const std::string reason = noSourceReason().value_or("");
+    if (!reason.empty() && reason != m_reportedReason) {
+        log("no_intent_source", {{"reason", reason}});
+    }
+    m_reportedReason = reason;
+}
+
 std::vector<control_action> control_core::takeActions()
 {
     return std::exchange(m_actions, {});
@@ -192,7 +366,7 @@
 {
     const datagram_envelope envelope{kind, m_settings.membership.self,
                                      m_settings.membership.incarnation, ++m_sequence};
-    auto sealed = m_codec.seal(envelope, payload, recipient);
+    auto sealed = m_datagrams.seal(envelope, payload, recipient);
     if (!isOk(sealed)) {
         log("datagram_not_sent", {{"reason", errorOf(sealed).message}});
         return;
@@ -245,16 +419,19 @@
         ids.push_back(server.id);
     }
     m_loads.keepOnly(ids);
+    if (current.number > m_note) {
+        m_note = current.number;
+        m_digest = current.digest;
+        m_membership.setAdoptedNote(m_note);
+        m_membership.pushNote();
+        sendOrders();
+    }
     m_publishedRevision = 0;
     m_rankedRevision = 0;
 }
 
 void control_core::updateProbeTargets()
 {
-    if (m_membership.topologyRevision() == m_rankedRevision) {
-        return;
-    }
-    m_rankedRevision = m_membership.topologyRevision();
     std::vector<backend_server_id> targets;
     const std::string &ownDomain = m_settings.membership.profile.failureDomain;
     for (const auto &[id, domain] : m_backendServers) {
@@ -294,7 +471,7 @@
 
 bool control_core::isFresh() const
 {
-    return m_membership.isSynchronised();
+    return m_membership.isSynchronised() && m_note >= m_requiredNote;
 }
 
 failure_domain_id control_core::domainId(const std::string &name) const
@@ -309,7 +486,8 @@
 
 void control_core::publishView()
 {
-    if (m_membership.revision() == m_publishedRevision) {
+    const bool hasFreshnessChanged = isFresh() != std::exchange(m_wasFresh, isFresh());
+    if (!hasFreshnessChanged && m_membership.revision() == m_publishedRevision) {
         return;
     }
     m_publishedRevision = m_membership.revision();
--- /dev/null
+++ b/packages/process/lease.cpp
@@ -0,0 +1,153 @@
+#include "process/lease.h"
+
+#include <memory>
+
+#include <json/json.h>
+
+namespace ebonyway {
+
+namespace {
+
+constexpr duration RenewalPeriod = LeaseTime / 3;
+constexpr duration ObservationPeriod = LeaseTime / 2;
+constexpr std::size_t MaxLeaseBytes = 4096;
+
+} // namespace
+
+lease::lease(std::string key, instance_id holder, std::uint64_t seed, time_point now)
+    : m_key(std::move(key))
+    , m_self(holder)
+    , m_random(seed)
+    , m_retry({}, seed + 1)
+    , m_nextCall(now)
+{ }
+
+bool lease::isHeld(time_point now) const
+{
+    return m_heldUntil && now < *m_heldUntil;
+}
+
+std::optional<platform_request> lease::nextCall(time_point now)
+{
+    if (!m_isCandidate || m_isCallUnderWay || now < m_nextCall) {
+        return std::nullopt;
+    }
+    m_isCallUnderWay = true;
+    m_callSent = now;
+    const bool isRunOut = now - m_versionSeen >= LeaseTime;
+    m_isWriting = !m_mustRead && (m_isAbsent || isHeld(now) || isRunOut);
+    if (!m_isWriting) {
+        return get_object{m_key};
+    }
+    return makeWrite(isHeld(now) ? m_epoch : m_seenEpoch + 1);
+}
+
+put_object lease::makeWrite(std::uint64_t epoch)
+{
+    m_written = {epoch, m_self.value, std::to_string(m_random.next())};
+    put_object write{m_key, encode(m_written), std::nullopt};
+    if (!m_isAbsent) {
+        write.ifVersion = m_version;
+    }
+    return write;
+}
+
+void lease::onResult(const result<platform_answer> &outcome, time_point now)
+{
+    m_isCallUnderWay = false;
+    if (isOk(outcome)) {
+        m_retry.onSuccess();
+        if (const auto *object = std::get_if<platform_object>(&valueOf(outcome))) {
+            onRead(*object, now);
+        } else if (const auto *written = std::get_if<platform_version>(&valueOf(outcome))) {
+            onWritten(written->version, now);
+        }
+        return;
+    }
+    switch (errorOf(outcome).kind) {
+    case error_kind::NotFound:
+        m_mustRead = false;
+        m_isAbsent = true;
+        m_nextCall = now;
+        return;
+    case error_kind::Conflict:
+        // Another instance has written. If an earlier write of this one took effect and only its
+        // answer was lost, reading the token shows it.
+        m_mustRead = true;
+        m_nextCall = now;
+        return;
+    default:
+        m_mustRead = m_mustRead || m_isWriting;
+        m_nextCall = m_retry.onFailure(now);
+        return;
+    }
+}
+
+void lease::onRead(const platform_object &object, time_point now)
+{
+    m_mustRead = false;
+    m_isAbsent = false;
+    const std::optional<record> seen = decode(object.value);
+    m_seenEpoch = seen ? seen->epoch : m_seenEpoch;
+    if (seen && seen->token == m_written.token && seen->holder == m_self.value
+        && !m_written.token.empty()) {
+        if (!isHeld(now) || m_epoch != seen->epoch) {
+            // The write took effect, but it is not known when. Taking the epoch over by a new write
+            // gives a known start.
+            m_version = object.version;
+            m_versionSeen = now - LeaseTime;
+            m_nextCall = now;
+            return;
+        }
+        m_version = object.version;
+        m_nextCall = now;
+        return;
+    }
+    m_heldUntil.reset();
+    if (object.version != m_version) {
+        m_version = object.version;
+        m_versionSeen = now;
+    }
+    const duration left = LeaseTime - (now - m_versionSeen);
+    const duration wait = std::min<duration>(ObservationPeriod, std::max<duration>(left, {}));
+    // Spreads the candidates, so that one of them usually wins without a conflict.
+    const auto jitter = m_random.below(static_cast<std::uint64_t>(duration(RenewalPeriod).count()));
+    m_nextCall = now + wait + (wait == left ? duration{static_cast<duration::rep>(jitter)}
+                                            : duration{});
+}
+
+void lease::onWritten(const std::string &version, time_point now)
+{
+    m_version = version;
+    m_versionSeen = now;
+    m_isAbsent = false;
+    m_epoch = m_written.epoch;
+    m_seenEpoch = m_written.epoch;
+    m_heldUntil = m_callSent + LeaseTime;
+    m_nextCall = m_callSent + RenewalPeriod;
+}
+
+std::string lease::encode(const record &value)
+{
+    Json::Value json;
+    json["epoch"] = Json::UInt64(value.epoch);
+    json["holder"] = value.holder;
+    json["token"] = value.token;
+    return Json::writeString(Json::StreamWriterBuilder(), json);
+}
+
+std::optional<lease::record> lease::decode(const std::string &text)
+{
+    Json::Value json;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    const bool isParsed = text.size() <= MaxLeaseBytes
+            && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
+            && json.isObject() && json["epoch"].isUInt64() && json["holder"].isUInt()
+            && json["token"].isString();
+    if (!isParsed) {
+        return std::nullopt;
+    }
+    return record{json["epoch"].asUInt64(), json["holder"].asUInt(), json["token"].asString()};
+}
+
+} // namespace ebonyway
