--- a/packages/core/ip_address.h
+++ b/packages/core/ip_address.h
@@ -14,7 +14,8 @@
 {
     std::array<std::uint8_t, 16> bytes{}; ///< Network byte order.
 
-    auto operator<=>(const ip_address &) const = default;
+    auto
+    operator<=>(const ip_address &) const = default; // NOLINT(modernize-use-nullptr): see ids.h
 
     bool isV4() const;
 
@@ -40,7 +41,7 @@
     ip_address address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const endpoint &) const = default;
+    auto operator<=>(const endpoint &) const = default; // NOLINT(modernize-use-nullptr): see ids.h
 
     /** Parses "192.0.2.1:80" or "[2001:db8::1]:80". Fails with InvalidInput. */
     static result<endpoint> parse(const std::string &text);
