Distribute release notes between instances and from the platform

Cause: instances need the accepted notes without one platform call per instance. A fake platform and a fleet driver run whole deployments in virtual time.

--- a/packages/process/bounded_archive.h
+++ b/packages/process/bounded_archive.h
@@ -69,6 +69,10 @@
 template <typename T>
 concept wire_number = std::unsigned_integral<T> && !std::same_as<T, bool> && sizeof(T) > 1;
 
+/** cereal numbers the alternatives of a std::variant with a signed integer. */
+template <typename T>
+concept wire_index = std::same_as<T, std::int32_t>;
+
 template <typename T>
 concept wire_byte = std::same_as<T, std::uint8_t> || std::same_as<T, bool> || std::same_as<
         T, std::byte> || std::same_as<T, char>;
@@ -89,6 +93,22 @@
     value = static_cast<T>(number);
 }
 
+template <wire_index T>
+void CEREAL_SAVE_FUNCTION_NAME(bounded_writer &archive, const T &value)
+{
+    archive.writeNumber(static_cast<std::uint32_t>(value));
+}
+
+template <wire_index T>
+void CEREAL_LOAD_FUNCTION_NAME(bounded_reader &archive, T &value)
+{
+    const std::uint64_t number = archive.readNumber();
+    if (number > static_cast<std::uint64_t>(std::numeric_limits<T>::max())) {
+        throw malformed_bytes("index out of range");
+    }
+    value = static_cast<T>(number);
+}
+
 template <wire_byte T>
 void CEREAL_SAVE_FUNCTION_NAME(bounded_writer &archive, const T &value)
 {
@@ -135,6 +155,14 @@
     tag.size = static_cast<std::remove_reference_t<T>>(size);
 }
 
+/** Names are not written. */
+template <typename archive_type, typename T>
+requires std::same_as<archive_type, bounded_writer> || std::same_as<archive_type, bounded_reader>
+void CEREAL_SERIALIZE_FUNCTION_NAME(archive_type &archive, cereal::NameValuePair<T> &pair)
+{
+    archive(pair.value);
+}
+
 /** Serialises a value with cereal. */
 template <typename T>
 std::vector<std::byte> encodeBounded(const T &value)
--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -1,6 +1,7 @@
 #include "process/control_core.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "process/bounded_archive.h"
 #include "process/overloaded.h"
@@ -118,10 +119,11 @@
         return;
     }
     const datagram_envelope &envelope = datagram.envelope;
+    const bool wasSynchronised = m_membership.isSynchronised();
     if (!m_membership.onGossip(envelope.sender, envelope.incarnation, from, *message, now)) {
         return;
     }
-    if (!m_wasFresh && message->echoedNonce != 0) {
+    if (!wasSynchronised) {
         m_requiredNote = std::max(m_requiredNote, message->note);
     }
     m_sync.onPeerHead(envelope.sender, message->note, message->digest);
@@ -237,7 +239,9 @@
                                   call(call_owner::IntentSync, std::move(platform.request),
                                        platform.timeout, now);
                               },
-                              [&](auto &adoption) { m_actions.emplace_back(std::move(adoption)); }},
+                              [&](auto &adoption) {
+                                  m_actions.emplace_back(std::move(adoption));
+                              }},
                    order);
     }
     for (log_event &event : m_sync.takeEvents()) {
@@ -280,7 +284,8 @@
     const std::size_t rank = m_membership.ownRank(WatchTask);
     m_isWatcher = rank < WatchersPerDomain;
     m_sync.setWatcher(m_isWatcher, now);
-    m_work.setCandidate(rank == 0);
+    m_isFirstWatcher = rank == 0;
+    m_work.setCandidate(m_isFirstWatcher);
     updateProbeTargets();
 }
 
@@ -291,7 +296,7 @@
 
 void control_core::askForInstances(time_point now)
 {
-    if (m_membership.ownRank(WatchTask) != 0 || now < m_nextInstanceList) {
+    if (!m_isFirstWatcher || now < m_nextInstanceList) {
         return;
     }
     m_nextInstanceList = now + InstanceListPeriod;
--- a/packages/process/control_core.h
+++ b/packages/process/control_core.h
@@ -162,6 +162,7 @@
     std::uint64_t m_publishedRevision = 0;
     std::uint64_t m_rankedRevision = 0; ///< Topology revision for which the roles are known.
     bool m_isWatcher = false;
+    bool m_isFirstWatcher = false; ///< Does what one instance per failure domain does.
     bool m_wasFresh = false;
     note_number m_note; ///< In force, as reported by the daemon.
     note_digest m_digest{};
--- a/packages/process/intent_sync.cpp
+++ b/packages/process/intent_sync.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <utility>
 
 #include "process/overloaded.h"
 #include "version/release_note.h"
@@ -124,8 +125,8 @@
                          time_point now) const
 {
     return record.details.id != m_self && record.details.adoptedNote > m_history.head()
-            && members.isFresh(record, now) && !m_avoided.contains(record.details.id)
-            && !m_forked.contains(record.details.id);
+           && members.isFresh(record, now) && !m_avoided.contains(record.details.id)
+           && !m_forked.contains(record.details.id);
 }
 
 std::optional<instance_id> intent_sync::choosePeer(const membership &members, time_point now)
@@ -134,7 +135,7 @@
     if (m_informer) {
         const instance_id informer = *std::exchange(m_informer, std::nullopt);
         const bool isUsable = members.find(informer) != nullptr && !m_avoided.contains(informer)
-                && !m_forked.contains(informer);
+                              && !m_forked.contains(informer);
         if (isUsable) {
             return informer;
         }
@@ -168,8 +169,8 @@
         order.request.body = snapshot_request{m_partSnapshot.number, m_partSnapshot.bytes.size()};
     } else {
         const bool isContinued = m_partNote.number.value == m_history.head().value + 1;
-        order.request.body = notes_request{m_history.head(),
-                                           isContinued ? m_partNote.bytes.size() : 0};
+        order.request.body =
+                notes_request{m_history.head(), isContinued ? m_partNote.bytes.size() : 0};
     }
     m_askedPeer = *peer;
     m_peerDeadline = now + PeerTimeout + PeerRetryDelay;
@@ -182,8 +183,7 @@
     m_nextPeerRequest = now + PeerRetryDelay;
     m_partSnapshot = {};
     m_partNote = {};
-    m_events.push_back(
-            {"sync_failed", {{"peer", std::to_string(peer.value)}, {"reason", reason}}});
+    m_events.push_back({"sync_failed", {{"peer", std::to_string(peer.value)}, {"reason", reason}}});
 }
 
 void intent_sync::onPeerResult(const result<sync_response> &outcome, time_point now)
@@ -202,10 +202,12 @@
         return;
     }
     const note_number before = m_history.head();
-    status taken = std::visit(
-            overloaded{[this](const notes_response &notes) { return takeNotes(notes); },
-                       [this](const snapshot_response &part) { return takeSnapshotPart(part); }},
-            response.body);
+    status taken =
+            std::visit(overloaded{[this](const notes_response &notes) { return takeNotes(notes); },
+                                  [this](const snapshot_response &part) {
+                                      return takeSnapshotPart(part);
+                                  }},
+                       response.body);
     if (!isOk(taken)) {
         if (errorOf(taken).kind == error_kind::Conflict) {
             reportFork(peer, before);
@@ -234,8 +236,8 @@
     }
     // The response may have been overtaken by a note from the platform.
     const std::uint64_t first = response.notes.front().number.value;
-    const std::optional<note_digest> known
-            = m_history.digestOf(note_number{first == 0 ? 0 : first - 1});
+    const std::optional<note_digest> known =
+            m_history.digestOf(note_number{first == 0 ? 0 : first - 1});
     if (known && *known != response.previous) {
         return error{error_kind::Conflict, "the peer's notes continue another chain",
                      "Compare the notes of the peer with the platform's notes"};
@@ -258,7 +260,7 @@
         return invalid("note " + std::to_string(part.number.value) + " is too long");
     }
     const bool isContinued = m_partNote.number == part.number && m_partNote.digest == part.digest
-            && m_partNote.size == part.size && !m_partNote.bytes.empty();
+                             && m_partNote.size == part.size && !m_partNote.bytes.empty();
     std::string text = isContinued ? std::exchange(m_partNote, {}).bytes : std::string();
     text += part.text;
     if (text.size() < part.size) {
@@ -284,9 +286,9 @@
         m_partSnapshot = {response.number, response.digest, response.size, {}};
     }
     const bool isNext = m_partSnapshot.number == response.number
-            && m_partSnapshot.size == response.size
-            && m_partSnapshot.bytes.size() == response.offset
-            && m_partSnapshot.bytes.size() + response.bytes.size() <= response.size;
+                        && m_partSnapshot.size == response.size
+                        && m_partSnapshot.bytes.size() == response.offset
+                        && m_partSnapshot.bytes.size() + response.bytes.size() <= response.size;
     if (!isNext) {
         return invalid("the snapshot changed while it was fetched");
     }
@@ -303,9 +305,9 @@
 {
     status appended = m_history.append(number, digest, text);
     if (!isOk(appended)) {
-        m_events.push_back({"note_rejected",
-                            {{"note", std::to_string(number.value)},
-                             {"reason", errorOf(appended).message}}});
+        m_events.push_back(
+                {"note_rejected",
+                 {{"note", std::to_string(number.value)}, {"reason", errorOf(appended).message}}});
         return appended;
     }
     m_orders.emplace_back(adopt_note{number, digest, std::move(text)});
@@ -442,8 +444,8 @@
         return;
     }
     const platform_step step = *std::exchange(m_step, std::nullopt);
-    status taken = isOk(outcome) ? takeAnswer(step, valueOf(outcome), now)
-                                 : status{errorOf(outcome)};
+    status taken =
+            isOk(outcome) ? takeAnswer(step, valueOf(outcome), now) : status{errorOf(outcome)};
     if (isOk(taken)) {
         m_platformRetry.onSuccess();
         m_nextCall = std::max(m_nextCall, now);
@@ -504,8 +506,8 @@
     if (step == platform_step::GetSnapshot) {
         const note_number number = std::exchange(m_listedSnapshot, {});
         status adopted = number <= m_history.head()
-                ? status{}
-                : adoptSnapshotBytes(number, std::nullopt, object.value);
+                                 ? status{}
+                                 : adoptSnapshotBytes(number, std::nullopt, object.value);
         if (!isOk(adopted)) {
             m_events.push_back({"snapshot_rejected",
                                 {{"note", std::to_string(number.value)},
--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <map>
+#include <utility>
 
 namespace ebonyway {
 
--- a/packages/process/singleton_work.cpp
+++ b/packages/process/singleton_work.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <utility>
 
 #include <json/json.h>
 
@@ -146,7 +147,7 @@
         return;
     }
     const bool isAnswered = isOk(outcome) || errorOf(outcome).kind == error_kind::NotFound
-            || errorOf(outcome).kind == error_kind::Conflict;
+                            || errorOf(outcome).kind == error_kind::Conflict;
     if (isAnswered) {
         m_retry.onSuccess();
     } else {
--- a/tests/process/control_fleet.cpp
+++ b/tests/process/control_fleet.cpp
@@ -14,10 +14,36 @@
 constexpr std::uint32_t SeedCount = 3; ///< Instances 1..3 are the seeds in everyone's settings.
 constexpr std::uint32_t BaseAddress = 0x0a000000;
 
+std::string noteKey(std::uint64_t number)
+{
+    const std::string digits = std::to_string(number);
+    return "notes/" + std::string(10 - digits.size(), '0') + digits;
+}
+
 } // namespace
 
+result<intent_snapshot> fake_intent::current() const
+{
+    if (inForce.number == note_number{}) {
+        return error{error_kind::NotFound, "no note is in force", "Wait"};
+    }
+    return intent_snapshot{inForce.number, inForce.digest,
+                           std::string(inForce.digest.begin(), inForce.digest.end())};
+}
+
+result<intent_snapshot> fake_intent::check(note_number number, std::string bytes) const
+{
+    intent_snapshot snapshot{number, {}, std::move(bytes)};
+    if (snapshot.bytes.size() != snapshot.digest.size()) {
+        return error{error_kind::InvalidInput, "the snapshot is malformed", "Take another one"};
+    }
+    std::copy(snapshot.bytes.begin(), snapshot.bytes.end(), snapshot.digest.begin());
+    return snapshot;
+}
+
 control_fleet::control_fleet(std::uint64_t seed, network_settings settings)
     : network(settings)
+    , platform([this](time_point at, std::function<void()> run) { schedule(at, std::move(run)); })
     , m_random(seed)
     , m_seed(seed)
 { }
@@ -47,7 +73,9 @@
     fleet_node &added = m_nodes[id];
     added = fleet_node{};
     const std::uint64_t incarnation = m_incarnations[id] += 100;
-    added.core = std::make_unique<control_core>(settingsOf(id, domain, incarnation, m_seed), m_now);
+    added.plan = std::make_unique<fake_intent>();
+    added.core = std::make_unique<control_core>(settingsOf(id, domain, incarnation, m_seed),
+                                                *added.plan, m_now);
     added.domain = domain;
     added.isRunning = true;
     const duration phase{static_cast<std::int64_t>(m_random.below(duration(TickPeriod).count()))};
@@ -169,13 +197,123 @@
         acting.view = std::move(view->view);
     } else if (auto *log = std::get_if<log_event>(&action)) {
         acting.events[log->name]++;
+        events[log->name]++;
+        if (log->name == "no_intent_source") {
+            lastNoSourceReason = log->fields.front().second;
+        }
     } else if (auto *message = std::get_if<deliver_engine_message>(&action)) {
         acting.engineMessages.emplace_back(message->from, std::move(message->bytes));
     } else if (auto *load = std::get_if<deliver_load_report>(&action)) {
         acting.loads.push_back(load->report);
     } else if (auto *targets = std::get_if<set_probe_targets>(&action)) {
         acting.probeTargets = targets->backendServers;
+    } else if (auto *request = std::get_if<send_sync_request>(&action)) {
+        carryOutSync(id, *request);
+    } else if (auto *call = std::get_if<call_platform>(&action)) {
+        carryOutCall(id, *call);
+    } else if (auto *note = std::get_if<adopt_note>(&action)) {
+        adopt(id, note->number, note->digest);
+    } else if (auto *snapshot = std::get_if<adopt_snapshot>(&action)) {
+        adopt(id, snapshot->number, snapshot->digest);
+    }
+}
+
+void control_fleet::resume(std::uint32_t id, std::uint64_t incarnation,
+                           std::function<void(control_core &)> run)
+{
+    fleet_node &resuming = node(id);
+    if (!resuming.isRunning || incarnation != m_incarnations[id]) {
+        return;
+    }
+    if (m_now < resuming.frozenUntil) {
+        schedule(resuming.frozenUntil,
+                 [this, id, incarnation, run] { resume(id, incarnation, run); });
+        return;
+    }
+    run(*resuming.core);
+    carryOut(id);
+}
+
+void control_fleet::carryOutSync(std::uint32_t id, const send_sync_request &request)
+{
+    const std::uint32_t peer = request.to.address.toV4() - BaseAddress;
+    const std::uint64_t incarnation = m_incarnations[id];
+    result<std::vector<std::byte>> response =
+            error{error_kind::Unavailable, "the peer refuses the connection", "Ask another one"};
+    const auto place = m_nodes.find(peer);
+    const bool isAnswered = place != m_nodes.end() && place->second.isRunning
+                            && m_now >= place->second.frozenUntil && isReachable(id, peer);
+    if (isAnswered) {
+        response = place->second.core->onSyncRequest(request.bytes);
+    }
+    // A connection costs a round trip before the request.
+    const time_point at = isAnswered ? m_now + 4 * network.delay : request.deadline;
+    schedule(at, [this, id, incarnation, requestId = request.id, response] {
+        resume(id, incarnation, [this, requestId, response](control_core &core) {
+            core.onSyncResponse(requestId, response, m_now);
+        });
+    });
+}
+
+void control_fleet::carryOutCall(std::uint32_t id, const call_platform &call)
+{
+    const std::uint64_t incarnation = m_incarnations[id];
+    const auto done = [this, id, incarnation,
+                       callId = call.id](const result<platform_answer> &outcome) {
+        resume(id, incarnation, [this, callId, outcome](control_core &core) {
+            core.onPlatformResult(callId, outcome, m_now);
+        });
+    };
+    if (!node(id).mayReachPlatform) {
+        schedule(call.deadline, [done] {
+            done(error{error_kind::Unavailable, "the platform does not answer", "Wait"});
+        });
+        return;
+    }
+    platform.call(call.request, m_now, call.deadline, done);
+}
+
+void control_fleet::adopt(std::uint32_t id, note_number number, const note_digest &digest)
+{
+    fleet_node &adopting = node(id);
+    if (number <= adopting.plan->inForce.number) {
+        breaches.notesFell++;
+    }
+    const auto [place, isNew] = m_digests.try_emplace(number.value, digest);
+    if (!isNew && place->second != digest) {
+        breaches.notesForked++;
+    }
+    adopting.plan->inForce.number = number;
+    adopting.plan->inForce.digest = digest;
+    adopting.adoptedAt[number.value] = m_now;
+    adopting.core->onIntentAdopted(adopting.plan->inForce);
+    carryOut(id);
+}
+
+std::uint64_t control_fleet::acceptNote(std::size_t size)
+{
+    m_notes++;
+    std::string text = "{\"note\": " + std::to_string(m_notes) + "}";
+    text.resize(std::max(size, text.size()), ' ');
+    platform.create(noteKey(m_notes), text, m_now);
+    return m_notes;
+}
+
+bool control_fleet::haveAll(std::uint64_t note)
+{
+    const std::vector<std::uint32_t> ids = running();
+    return std::all_of(ids.begin(), ids.end(), [&](std::uint32_t id) {
+        return node(id).plan->inForce.number.value >= note;
+    });
+}
+
+duration control_fleet::runUntilAllHave(std::uint64_t note, duration limit)
+{
+    const time_point start = m_now;
+    while (m_now - start < limit && !haveAll(note)) {
+        run(50ms);
     }
+    return m_now - start;
 }
 
 fleet_node &control_fleet::node(std::uint32_t id)
--- a/tests/process/control_fleet.h
+++ b/tests/process/control_fleet.h
@@ -11,6 +11,7 @@
 
 #include "core/seeded_random.h"
 #include "process/control_core.h"
+#include "process/fake_platform.h"
 
 namespace ebonyway {
 
@@ -23,11 +24,23 @@
     double duplication = 0;
 };
 
+/** Stands for the route plan: only the number and digest of the note in force. */
+class fake_intent : public intent_snapshots
+{
+public:
+    result<intent_snapshot> current() const override;
+    result<intent_snapshot> check(note_number number, std::string bytes) const override;
+
+    intent inForce;
+};
+
 /** One simulated instance and what it has done. */
 struct fleet_node
 {
+    std::unique_ptr<fake_intent> plan;
     std::unique_ptr<control_core> core;
     std::string domain;
+    bool mayReachPlatform = true;
     bool isRunning = false;
     time_point frozenUntil;
     cluster_view view;
@@ -37,6 +50,14 @@
     std::vector<backend_server_id> probeTargets;
     std::size_t wireBytesSent = 0; ///< Datagrams including 28 bytes of IPv4 and UDP headers.
     std::size_t datagramsSent = 0;
+    std::map<std::uint64_t, time_point> adoptedAt; ///< By note number.
+};
+
+/** Breaches of the promises that hold in every run. */
+struct fleet_breaches
+{
+    int notesFell = 0; ///< An instance adopted a note that was not above the one in force.
+    int notesForked = 0; ///< Two digests for one note number.
 };
 
 /** Runs the control cores of several instances under virtual time on a simulated network. */
@@ -57,6 +78,13 @@
     void cut(std::function<bool(std::uint32_t, std::uint32_t)> isCut);
     void heal();
     void run(duration time);
+    /** Stores the next release note in the platform, like an operator. Returns its number. */
+    std::uint64_t acceptNote(std::size_t size = 200);
+    /** Returns whether all running instances have the note in force. */
+    bool haveAll(std::uint64_t note);
+    /** Runs until all running instances have the note, at most the limit. Returns the time taken.
+     */
+    duration runUntilAllHave(std::uint64_t note, duration limit);
     /** Sends raw bytes to an instance as if from the endpoint of another. */
     void inject(std::uint32_t from, std::uint32_t to, std::vector<std::byte> bytes);
 
@@ -72,6 +100,10 @@
                                        std::uint64_t incarnation, std::uint64_t seed);
 
     network_settings network;
+    fake_platform platform;
+    fleet_breaches breaches;
+    std::map<std::string, int> events; ///< Log events of all instances by name.
+    std::string lastNoSourceReason;
 
 private:
     struct event
@@ -92,6 +124,11 @@
     void transmit(std::uint32_t from, std::uint32_t to, const std::vector<std::byte> &bytes);
     void carryOut(std::uint32_t id);
     void carryOut(std::uint32_t id, control_action &action);
+    void carryOutSync(std::uint32_t id, const send_sync_request &request);
+    void carryOutCall(std::uint32_t id, const call_platform &call);
+    void adopt(std::uint32_t id, note_number number, const note_digest &digest);
+    void resume(std::uint32_t id, std::uint64_t incarnation,
+                std::function<void(control_core &)> run);
     bool isReachable(std::uint32_t from, std::uint32_t to) const;
 
     seeded_random m_random;
@@ -100,6 +137,8 @@
     std::uint64_t m_eventCount = 0;
     std::map<std::uint32_t, fleet_node> m_nodes;
     std::map<std::uint32_t, std::uint64_t> m_incarnations;
+    std::map<std::uint64_t, note_digest> m_digests; ///< Of each note that was adopted anywhere.
+    std::uint64_t m_notes = 0;
     std::function<bool(std::uint32_t, std::uint32_t)> m_isCut;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_queue;
 };
