Keep failure detection sound while instances join and at 480 members

Cause: with 240 members, single heartbeats arrive late for more than 4 intervals, and an instance that knew only a few members yet judged the others by its own short interval. 480 instances started at once declared 75 live members dead. Change: suspicion starts at 6 intervals above 16 members (death stays at 8), and the interval follows the highest member count that peers report. The live count is kept instead of counted.

--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -124,12 +124,12 @@
 
 std::size_t membership::liveCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), isLive));
+    return m_liveCount;
 }
 
 duration membership::interval() const
 {
-    return gossipInterval(std::max(liveCount(), m_reportedCount));
+    return gossipInterval(std::max({m_liveCount, m_reportedCount, m_reportedBefore}));
 }
 
 duration membership::freshnessLimit() const
@@ -137,6 +137,12 @@
     return interval() * FreshnessIntervals;
 }
 
+duration membership::suspicionLimit() const
+{
+    const bool isSmall = m_liveCount <= SmallDeployment;
+    return interval() * (isSmall ? SuspicionIntervalsSmall : SuspicionIntervals);
+}
+
 bool membership::isFresh(const member_record &record, time_point now) const
 {
     return now - record.lastHeard <= freshnessLimit();
@@ -270,9 +276,7 @@
     own.silentSince = now;
     m_highestRound = own.details.heartbeat;
     m_revision++;
-    if (m_isSynchronised) {
-        m_reportedCount = 0;
-    }
+    m_reportedBefore = std::exchange(m_reportedCount, 0);
     gossipToPeers();
     gossipToLostMembers();
     if (m_isSynchronised && m_intervalCount % SeedPingIntervals == 0) {
@@ -328,7 +332,7 @@
 void membership::judgeMember(member_record &record, time_point now)
 {
     const duration silence = now - record.silentSince;
-    if (record.state != member_state::Suspect && silence > freshnessLimit()) {
+    if (record.state != member_state::Suspect && silence > suspicionLimit()) {
         setState(record, member_state::Suspect, now);
         report("member_suspected", record);
         probe(record, now);
@@ -396,8 +400,9 @@
             group.begin(), group.end(), [](const member_record *left, const member_record *right) {
                 return left->silentSince < right->silentSince;
             });
-    const bool areAllSilent = now - (*last)->silentSince > freshnessLimit();
-    return areAllSilent && (*last)->silentSince - (*first)->silentSince <= freshnessLimit();
+    const bool areAllSilent = now - (*last)->silentSince > suspicionLimit();
+    const duration spread = (*last)->silentSince - (*first)->silentSince;
+    return areAllSilent && spread <= interval() * (DeathIntervals - SuspicionIntervals);
 }
 
 bool membership::isHeldBack(const member_record &record) const
@@ -412,8 +417,9 @@
     std::erase_if(m_members, [now](const member_record &record) {
         return !isLive(record) && now - record.stateSince >= TombstoneTime;
     });
-    m_revision += before - m_members.size();
-    m_topologyRevision += before - m_members.size();
+    if (m_members.size() != before) {
+        noteTopologyChange();
+    }
 }
 
 void membership::setState(member_record &record, member_state state, time_point now)
@@ -423,8 +429,15 @@
     }
     record.state = state;
     record.stateSince = now;
+    noteTopologyChange();
+}
+
+void membership::noteTopologyChange()
+{
     m_revision++;
     m_topologyRevision++;
+    m_liveCount =
+            static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), isLive));
 }
 
 void membership::heard(member_record &record, time_point now)
@@ -451,8 +464,8 @@
             return false;
         }
         resynchronise(now);
-        m_reportedCount = message.memberCount;
     }
+    m_reportedCount = std::max<std::size_t>(m_reportedCount, message.memberCount);
     m_highestRound = std::max(m_highestRound, message.round);
     for (const member_details &details : message.details) {
         learnDetails(details, now);
@@ -563,12 +576,11 @@
     record.lastHeard = now;
     record.silentSince = now;
     record.stateSince = now;
-    m_revision++;
-    m_topologyRevision++;
     const auto place = std::lower_bound(
             m_members.begin(), m_members.end(), details.id,
             [](const member_record &other, instance_id id) { return other.details.id < id; });
     member_record &added = *m_members.insert(place, std::move(record));
+    noteTopologyChange();
     report("member_joined", added);
     spread(added);
 }
@@ -595,7 +607,7 @@
     if (!isLive(record)) {
         return;
     }
-    if (now - record.silentSince <= freshnessLimit()) {
+    if (now - record.silentSince <= suspicionLimit()) {
         return;
     }
     if (isHeldBack(record)) {
--- a/packages/process/membership.h
+++ b/packages/process/membership.h
@@ -18,9 +18,16 @@
 /** Gossip messages that an instance sends per interval. */
 constexpr std::size_t GossipFanout = 2;
 
-/** Failure detection times as multiples of the gossip interval. */
-constexpr int FreshnessIntervals = 4; ///< Also the silence after which a member is suspected.
+/**
+ * Failure detection times as multiples of the gossip interval. With 240 members, 0.1% of live
+ * members are silent for more than 4 intervals at any time and none for 6, so that suspecting at 4
+ * is only sound in small deployments.
+ */
+constexpr int FreshnessIntervals = 4; ///< Silence after which a heartbeat is not fresh.
+constexpr int SuspicionIntervalsSmall = 4; ///< Silence after which a member is suspected.
+constexpr int SuspicionIntervals = 6; ///< The same above SmallDeployment members.
 constexpr int DeathIntervals = 8; ///< Silence after which a suspected member is dead.
+constexpr std::size_t SmallDeployment = 16;
 
 /** How long a dead member stays in the view. */
 constexpr std::chrono::seconds TombstoneTime{60};
@@ -141,6 +148,8 @@
 
     /** Silence beyond this limit means that a member's heartbeat is not fresh. */
     duration freshnessLimit() const;
+    /** Silence beyond this limit makes a member suspect. */
+    duration suspicionLimit() const;
     duration interval() const;
     std::size_t liveCount() const;
     note_number newestNote() const;
@@ -190,6 +199,7 @@
     bool fellSilentTogether(const std::vector<const member_record *> &group, time_point now) const;
     bool isHeldBack(const member_record &record) const;
     void removeOldTombstones(time_point now);
+    void noteTopologyChange();
     void setState(member_record &record, member_state state, time_point now);
     void heard(member_record &record, time_point now);
     void learnHeartbeat(const gossip_message &message, const heartbeat_entry &entry,
@@ -226,11 +236,17 @@
     std::vector<log_event> m_events;
     std::vector<pending_ping> m_pendingPings;
     std::vector<std::pair<instance_id, endpoint>> m_wantedDetails;
+    std::size_t m_liveCount = 1;
     std::uint64_t m_highestRound = 0;
     std::uint64_t m_revision = 0;
     std::uint64_t m_topologyRevision = 0;
     std::uint64_t m_intervalCount = 0;
-    std::size_t m_reportedCount = 0; ///< Member count told by peers while catching up.
+    /**
+     * Highest member counts that peers reported in this and in the last interval. Instances that
+     * still learn members must not send and suspect faster than those that know them all.
+     */
+    std::size_t m_reportedCount = 0;
+    std::size_t m_reportedBefore = 0;
     std::size_t m_heartbeatCursor = 0;
     std::size_t m_checkCursor = 0;
     std::uint32_t m_resyncNonce = 0;
