--- a/packages/process/lease.cpp
+++ b/packages/process/lease.cpp
@@ -33,12 +33,12 @@
         return std::nullopt;
     }
     m_isCallUnderWay = true;
-    m_callSent = now;
     const bool isRunOut = now - m_versionSeen >= LeaseTime;
     m_isWriting = !m_mustRead && (m_isAbsent || isHeld(now) || isRunOut);
     if (!m_isWriting) {
         return get_object{m_key};
     }
+    m_writeSent = now;
     return makeWrite(isHeld(now) ? m_epoch : m_seenEpoch + 1);
 }
 
@@ -89,18 +89,9 @@
     m_isAbsent = false;
     const std::optional<record> seen = decode(object.value);
     m_seenEpoch = seen ? seen->epoch : m_seenEpoch;
-    if (seen && seen->token == m_written.token && seen->holder == m_self.value
-        && !m_written.token.empty()) {
-        if (!isHeld(now) || m_epoch != seen->epoch) {
-            // The write took effect, but it is not known when. Taking the epoch over by a new write
-            // gives a known start.
-            m_version = object.version;
-            m_versionSeen = now - LeaseTime;
-            m_nextCall = now;
-            return;
-        }
-        m_version = object.version;
-        m_nextCall = now;
+    if (seen && seen->holder == m_self.value && seen->token == m_written.token) {
+        // The answer to the last write was lost, but the write took effect after it was sent.
+        onWritten(object.version, now);
         return;
     }
     m_heldUntil.reset();
@@ -112,8 +103,8 @@
     const duration wait = std::min<duration>(ObservationPeriod, std::max<duration>(left, {}));
     // Spreads the candidates, so that one of them usually wins without a conflict.
     const auto jitter = m_random.below(static_cast<std::uint64_t>(duration(RenewalPeriod).count()));
-    m_nextCall = now + wait + (wait == left ? duration{static_cast<duration::rep>(jitter)}
-                                            : duration{});
+    m_nextCall =
+            now + wait + (wait == left ? duration{static_cast<duration::rep>(jitter)} : duration{});
 }
 
 void lease::onWritten(const std::string &version, time_point now)
@@ -123,8 +114,8 @@
     m_isAbsent = false;
     m_epoch = m_written.epoch;
     m_seenEpoch = m_written.epoch;
-    m_heldUntil = m_callSent + LeaseTime;
-    m_nextCall = m_callSent + RenewalPeriod;
+    m_heldUntil = m_writeSent + LeaseTime;
+    m_nextCall = m_writeSent + RenewalPeriod;
 }
 
 std::string lease::encode(const record &value)
@@ -141,9 +132,9 @@
     Json::Value json;
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     const bool isParsed = text.size() <= MaxLeaseBytes
-            && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
-            && json.isObject() && json["epoch"].isUInt64() && json["holder"].isUInt()
-            && json["token"].isString();
+                          && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
+                          && json.isObject() && json["epoch"].isUInt64() && json["holder"].isUInt()
+                          && json["token"].isString();
     if (!isParsed) {
         return std::nullopt;
     }
--- a/packages/process/lease.h
+++ b/packages/process/lease.h
@@ -66,7 +66,7 @@
     bool m_isAbsent = false;
     std::string m_version; ///< Last version read or written; empty if absent.
     time_point m_versionSeen; ///< When that version was first seen.
-    time_point m_callSent;
+    time_point m_writeSent; ///< When m_written was sent.
     time_point m_nextCall;
     record m_written; ///< The write under way or with unknown outcome.
     std::uint64_t m_seenEpoch = 0;
--- a/tests/process/control_fleet.cpp
+++ b/tests/process/control_fleet.cpp
@@ -27,20 +27,36 @@
     if (inForce.number == note_number{}) {
         return error{error_kind::NotFound, "no note is in force", "Wait"};
     }
-    return intent_snapshot{inForce.number, inForce.digest,
-                           std::string(inForce.digest.begin(), inForce.digest.end())};
+    std::string bytes(inForce.digest.begin(), inForce.digest.end());
+    for (const failure_domain &domain : inForce.failureDomains) {
+        bytes += "out:" + domain.name + ";";
+    }
+    return intent_snapshot{inForce.number, inForce.digest, bytes};
 }
 
 result<intent_snapshot> fake_intent::check(note_number number, std::string bytes) const
 {
     intent_snapshot snapshot{number, {}, std::move(bytes)};
-    if (snapshot.bytes.size() != snapshot.digest.size()) {
+    if (snapshot.bytes.size() < snapshot.digest.size()) {
         return error{error_kind::InvalidInput, "the snapshot is malformed", "Take another one"};
     }
-    std::copy(snapshot.bytes.begin(), snapshot.bytes.end(), snapshot.digest.begin());
+    std::copy_n(snapshot.bytes.begin(), snapshot.digest.size(), snapshot.digest.begin());
     return snapshot;
 }
 
+void fake_intent::fold(note_number number, const note_digest &digest, const std::string &text)
+{
+    inForce.number = number;
+    inForce.digest = digest;
+    const std::string marker = "out:";
+    std::size_t at = 0;
+    while ((at = text.find(marker, at)) != std::string::npos) {
+        at += marker.size();
+        const std::string name = text.substr(at, text.find(';', at) - at);
+        inForce.failureDomains.push_back({failure_domain_id{}, name, false});
+    }
+}
+
 control_fleet::control_fleet(std::uint64_t seed, network_settings settings)
     : network(settings)
     , platform([this](time_point at, std::function<void()> run) { schedule(at, std::move(run)); })
@@ -212,9 +228,9 @@
     } else if (auto *call = std::get_if<call_platform>(&action)) {
         carryOutCall(id, *call);
     } else if (auto *note = std::get_if<adopt_note>(&action)) {
-        adopt(id, note->number, note->digest);
+        adopt(id, note->number, note->digest, note->text);
     } else if (auto *snapshot = std::get_if<adopt_snapshot>(&action)) {
-        adopt(id, snapshot->number, snapshot->digest);
+        adopt(id, snapshot->number, snapshot->digest, snapshot->bytes);
     }
 }
 
@@ -273,7 +289,8 @@
     platform.call(call.request, m_now, call.deadline, done);
 }
 
-void control_fleet::adopt(std::uint32_t id, note_number number, const note_digest &digest)
+void control_fleet::adopt(std::uint32_t id, note_number number, const note_digest &digest,
+                          const std::string &text)
 {
     fleet_node &adopting = node(id);
     if (number <= adopting.plan->inForce.number) {
@@ -283,17 +300,16 @@
     if (!isNew && place->second != digest) {
         breaches.notesForked++;
     }
-    adopting.plan->inForce.number = number;
-    adopting.plan->inForce.digest = digest;
+    adopting.plan->fold(number, digest, text);
     adopting.adoptedAt[number.value] = m_now;
     adopting.core->onIntentAdopted(adopting.plan->inForce);
     carryOut(id);
 }
 
-std::uint64_t control_fleet::acceptNote(std::size_t size)
+std::uint64_t control_fleet::acceptNote(const std::string &effect, std::size_t size)
 {
     m_notes++;
-    std::string text = "{\"note\": " + std::to_string(m_notes) + "}";
+    std::string text = "{\"note\": " + std::to_string(m_notes) + "}" + effect;
     text.resize(std::max(size, text.size()), ' ');
     platform.create(noteKey(m_notes), text, m_now);
     return m_notes;
--- a/tests/process/control_fleet.h
+++ b/tests/process/control_fleet.h
@@ -24,13 +24,18 @@
     double duplication = 0;
 };
 
-/** Stands for the route plan: only the number and digest of the note in force. */
+/**
+ * Stands for the route plan: the number and digest of the note in force and the failure domains that
+ * notes with the text "out:<name>;" took out of service.
+ */
 class fake_intent : public intent_snapshots
 {
 public:
     result<intent_snapshot> current() const override;
     result<intent_snapshot> check(note_number number, std::string bytes) const override;
 
+    void fold(note_number number, const note_digest &digest, const std::string &text);
+
     intent inForce;
 };
 
@@ -79,7 +84,7 @@
     void heal();
     void run(duration time);
     /** Stores the next release note in the platform, like an operator. Returns its number. */
-    std::uint64_t acceptNote(std::size_t size = 200);
+    std::uint64_t acceptNote(const std::string &effect = "", std::size_t size = 200);
     /** Returns whether all running instances have the note in force. */
     bool haveAll(std::uint64_t note);
     /** Runs until all running instances have the note, at most the limit. Returns the time taken.
@@ -126,7 +131,8 @@
     void carryOut(std::uint32_t id, control_action &action);
     void carryOutSync(std::uint32_t id, const send_sync_request &request);
     void carryOutCall(std::uint32_t id, const call_platform &call);
-    void adopt(std::uint32_t id, note_number number, const note_digest &digest);
+    void adopt(std::uint32_t id, note_number number, const note_digest &digest,
+               const std::string &text);
     void resume(std::uint32_t id, std::uint64_t incarnation,
                 std::function<void(control_core &)> run);
     bool isReachable(std::uint32_t from, std::uint32_t to) const;
