--- /dev/null
+++ b/tests/request/relay_header_test.cpp
@@ -0,0 +1,75 @@
+#include "request/relay_header.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "core/seeded_random.h"
+
+namespace ebonyway {
+
+namespace {
+
+struct relay_header_fixture
+{
+    static constexpr std::array<std::uint8_t, RelayHeaderSize> Known{'E', 'W', 1, 2, 0, 1, 2, 3};
+
+    static std::array<std::byte, RelayHeaderSize> known()
+    {
+        std::array<std::byte, RelayHeaderSize> bytes{};
+        std::transform(Known.begin(), Known.end(), bytes.begin(),
+                       [](std::uint8_t b) { return std::byte{b}; });
+        return bytes;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(relay_header_fixture, "relay header, known bytes, match the design page")
+{
+    CHECK(encodeRelayHeader({2, instance_id{0x00010203}}) == known());
+    const auto decoded = decodeRelayHeader(known());
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->hops == 2);
+    CHECK(decoded->sender == instance_id{0x00010203});
+}
+
+TEST_CASE_FIXTURE(relay_header_fixture, "relay header, other bytes, are refused without overrun")
+{
+    // Guards against taking a stray datagram for a relayed packet.
+    for (const std::size_t changed : {0, 1, 2}) {
+        auto bytes = known();
+        bytes[changed] ^= std::byte{0x20};
+        CHECK_FALSE(decodeRelayHeader(bytes).has_value());
+    }
+    auto withoutHops = known();
+    withoutHops[3] = std::byte{0};
+    CHECK_FALSE(decodeRelayHeader(withoutHops).has_value());
+    const auto whole = known();
+    for (std::size_t length = 0; length < RelayHeaderSize; ++length) {
+        CHECK_FALSE(decodeRelayHeader(std::span(whole).first(length)).has_value());
+    }
+}
+
+TEST_CASE_FIXTURE(relay_header_fixture, "relay header, random bytes, decode only to what they hold")
+{
+    seeded_random random(7);
+    for (int i = 0; i < 20000; ++i) {
+        std::vector<std::byte> bytes(random.below(12));
+        for (std::byte &b : bytes) {
+            // Half of the bytes come from the known header, so that some datagrams are accepted.
+            const std::size_t index = static_cast<std::size_t>(&b - bytes.data());
+            const bool keep = index < RelayHeaderSize && random.below(4) != 0;
+            b = keep ? known()[index] : static_cast<std::byte>(random.next());
+        }
+        const auto decoded = decodeRelayHeader(bytes);
+        if (!decoded) {
+            continue;
+        }
+        const auto encoded = encodeRelayHeader(*decoded);
+        CHECK(std::equal(encoded.begin(), encoded.end(), bytes.begin()));
+    }
+}
+
+} // namespace ebonyway
