--- /dev/null
+++ b/packages/process/event_log.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/result.h"
+
+namespace ebonyway {
+
+/** Severity of a log event. */
+enum class log_level : std::uint8_t {
+    Debug,
+    Info,
+    Warn,
+    Error,
+};
+
+/** Value of a log field. */
+using log_value = std::variant<std::string, std::int64_t, std::uint64_t, double, bool>;
+
+/** One named field of a log event. Names are stable; tools depend on them. */
+struct log_field
+{
+    std::string name;
+    log_value value;
+};
+
+/** A log event with a stable name, for example "note_adopted". */
+struct log_event
+{
+    log_level level = log_level::Info;
+    std::string name;
+    std::vector<log_field> fields;
+};
+
+/** Renders the event as one JSON object without a line break. */
+std::string renderLogEvent(const log_event &event, const std::string &timestamp);
+
+/** Writes events as JSON lines. */
+class event_log
+{
+public:
+    virtual ~event_log() = default;
+
+    /** Writes one event. Safe to call from several threads. Never called per packet. */
+    virtual void write(const log_event &event) = 0;
+};
+
+/** Event log on log4cxx, to a file or to standard output. */
+class log4cxx_event_log : public event_log
+{
+public:
+    /**
+     * Configures log4cxx for this process. `level` is one of debug, info, warn, error. `file` is
+     * empty for standard output.
+     */
+    log4cxx_event_log(const std::string &level, const std::string &file);
+
+    void write(const log_event &event) override;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/tests/process/metrics_test.cpp
@@ -0,0 +1,57 @@
+#include "process/metrics.h"
+
+#include <doctest/doctest.h>
+
+#include "process/event_log.h"
+
+namespace ebonyway {
+
+namespace {
+
+struct metrics_fixture
+{
+    metrics_registry m_registry;
+
+    double value(const std::string &name) const
+    {
+        for (const metric_sample &sample : m_registry.samples()) {
+            if (sample.name == name && sample.labels.empty()) {
+                return sample.value;
+            }
+        }
+        return -1;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(metrics_fixture, "distribution, three values, reports count, sum and maximum")
+{
+    for (const double observed : {1.0, 2.0, 6.0}) {
+        m_registry.observe("tick_seconds", observed);
+    }
+    CHECK(value("tick_seconds_count") == 3);
+    CHECK(value("tick_seconds_sum") == 9);
+    CHECK(value("tick_seconds_mean") == 3);
+    CHECK(value("tick_seconds_max") == 6);
+}
+
+TEST_CASE_FIXTURE(metrics_fixture, "Prometheus text, label with quotes, is escaped")
+{
+    // Guards against a service name that breaks the whole scrape.
+    const std::string text = renderPrometheus({{"flows", {{"service", "a\"b\\c"}}, 2}});
+    CHECK(text == "ebonyway_flows{service=\"a\\\"b\\\\c\"} 2\n");
+}
+
+TEST_CASE_FIXTURE(metrics_fixture, "log event, fields of every type, is one JSON line")
+{
+    const log_event event{
+            log_level::Warn,
+            "note_rejected",
+            {{"note", std::uint64_t{7}}, {"reason", std::string("line\nbreak")}, {"fork", true}}};
+    CHECK(renderLogEvent(event, "2026-01-01T00:00:00.000Z")
+          == R"({"event":"note_rejected","fork":true,"level":"warn","note":7,)"
+             R"("reason":"line\nbreak","time":"2026-01-01T00:00:00.000Z"})");
+}
+
+} // namespace ebonyway
