--- /dev/null
+++ b/packages/process/edge/socket_address.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <ace/INET_Addr.h>
+
+#include "core/ip_address.h"
+
+namespace ebonyway {
+
+/** Converts an endpoint to ACE's address type. */
+ACE_INET_Addr toAceAddress(const endpoint &from);
+
+/** Converts ACE's address type to an endpoint. */
+endpoint fromAceAddress(const ACE_INET_Addr &from);
+
+} // namespace ebonyway
--- a/packages/process/settings_reader.cpp
+++ b/packages/process/settings_reader.cpp
@@ -15,8 +15,8 @@
 
 const Json::Value &emptyObject()
 {
-    static const Json::Value empty(Json::objectValue);
-    return empty;
+    static const Json::Value Empty(Json::objectValue);
+    return Empty;
 }
 
 std::string render(const Json::Value &value)
--- a/tests/process/metrics_test.cpp
+++ b/tests/process/metrics_test.cpp
@@ -10,11 +10,11 @@
 
 struct metrics_fixture
 {
-    metrics_registry m_registry;
+    metrics_registry registry;
 
     double value(const std::string &name) const
     {
-        for (const metric_sample &sample : m_registry.samples()) {
+        for (const metric_sample &sample : registry.samples()) {
             if (sample.name == name && sample.labels.empty()) {
                 return sample.value;
             }
@@ -28,7 +28,7 @@
 TEST_CASE_FIXTURE(metrics_fixture, "distribution, three values, reports count, sum and maximum")
 {
     for (const double observed : {1.0, 2.0, 6.0}) {
-        m_registry.observe("tick_seconds", observed);
+        registry.observe("tick_seconds", observed);
     }
     CHECK(value("tick_seconds_count") == 3);
     CHECK(value("tick_seconds_sum") == 9);
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -10,7 +10,7 @@
 
 struct settings_fixture
 {
-    std::string m_text = R"({
+    std::string validText = R"({
         // A comment is allowed.
         "instance_id": 7, "failure_domain": "casa-ain", "address": "127.0.0.1", "base_port": 7100,
         "fabric": "127.0.0.1:6001", "platform": "127.0.0.1:8000", "seeds": ["127.0.0.1:7113"],
@@ -20,11 +20,11 @@
     /** Replaces a part of the valid text and returns the resulting error. */
     error errorAfter(const std::string &part, const std::string &replacement)
     {
-        std::string text = m_text;
-        const std::size_t at = text.find(part);
+        std::string changed = validText;
+        const std::size_t at = changed.find(part);
         REQUIRE(at != std::string::npos);
-        text.replace(at, part.size(), replacement);
-        const result<settings> parsed = parseSettings("node.json", text);
+        changed.replace(at, part.size(), replacement);
+        const result<settings> parsed = parseSettings("node.json", changed);
         REQUIRE_FALSE(isOk(parsed));
         return errorOf(parsed);
     }
@@ -39,7 +39,7 @@
 
 TEST_CASE_FIXTURE(settings_fixture, "settings, valid text with comments, is read")
 {
-    const result<settings> parsed = parseSettings("node.json", m_text);
+    const result<settings> parsed = parseSettings("node.json", validText);
     REQUIRE(isOk(parsed));
     CHECK(valueOf(parsed).instance.value == 7);
     CHECK(valueOf(parsed).listenOn(port_offset::Gossip).toString() == "127.0.0.1:7103");
