--- a/packages/process/event_log.cpp
+++ b/packages/process/event_log.cpp
@@ -83,18 +83,18 @@
 
 } // namespace
 
-std::string renderLogEvent(const log_event &event, const std::string &timestamp)
+std::string renderLogLine(const log_line &line, const std::string &timestamp)
 {
-    Json::Value line(Json::objectValue);
-    line["time"] = timestamp;
-    line["level"] = levelName(event.level);
-    line["event"] = event.name;
-    for (const log_field &field : event.fields) {
-        line[field.name] = toJson(field.value);
+    Json::Value object(Json::objectValue);
+    object["time"] = timestamp;
+    object["level"] = levelName(line.level);
+    object["event"] = line.name;
+    for (const log_field &field : line.fields) {
+        object[field.name] = toJson(field.value);
     }
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
-    return Json::writeString(builder, line);
+    return Json::writeString(builder, object);
 }
 
 log4cxx_event_log::log4cxx_event_log(const std::string &level, const std::string &file)
@@ -114,14 +114,14 @@
             log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
 }
 
-void log4cxx_event_log::write(const log_event &event)
+void log4cxx_event_log::write(const log_line &line)
 {
     const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
-    const log4cxx::LevelPtr level = log4cxxLevel(event.level);
+    const log4cxx::LevelPtr level = log4cxxLevel(line.level);
     if (!logger->isEnabledFor(level)) {
         return;
     }
-    logger->forcedLog(level, renderLogEvent(event, utcTimestamp()));
+    logger->forcedLog(level, renderLogLine(line, utcTimestamp()));
 }
 
 } // namespace ebonyway
--- a/packages/process/event_log.h
+++ b/packages/process/event_log.h
@@ -10,7 +10,7 @@
 
 namespace ebonyway {
 
-/** Severity of a log event. */
+/** Severity of a log line. */
 enum class log_level : std::uint8_t {
     Debug,
     Info,
@@ -21,7 +21,7 @@
 /** Value of a log field. */
 using log_value = std::variant<std::string, std::int64_t, std::uint64_t, double, bool>;
 
-/** One named field of a log event. Names are stable; tools depend on them. */
+/** One named field of a log line. Names are stable; tools depend on them. */
 struct log_field
 {
     std::string name;
@@ -29,7 +29,7 @@
 };
 
 /** A log event with a stable name, for example "note_adopted". */
-struct log_event
+struct log_line
 {
     log_level level = log_level::Info;
     std::string name;
@@ -37,7 +37,7 @@
 };
 
 /** Renders the event as one JSON object without a line break. */
-std::string renderLogEvent(const log_event &event, const std::string &timestamp);
+std::string renderLogLine(const log_line &line, const std::string &timestamp);
 
 /** Writes events as JSON lines. */
 class event_log
@@ -45,8 +45,8 @@
 public:
     virtual ~event_log() = default;
 
-    /** Writes one event. Safe to call from several threads. Never called per packet. */
-    virtual void write(const log_event &event) = 0;
+    /** Writes one line. Safe to call from several threads. Never called per packet. */
+    virtual void write(const log_line &line) = 0;
 };
 
 /** Event log on log4cxx, to a file or to standard output. */
@@ -59,7 +59,7 @@
      */
     log4cxx_event_log(const std::string &level, const std::string &file);
 
-    void write(const log_event &event) override;
+    void write(const log_line &line) override;
 };
 
 } // namespace ebonyway
