--- /dev/null
+++ b/packages/connection/flow_copier.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+#include "connection/home_store.h"
+
+namespace ebonyway {
+
+class peer_exchange;
+
+/** Sends copies of tracked flows, and their ends, to the instances that back a slot up. */
+class flow_copier
+{
+public:
+    flow_copier(home_store &store, peer_exchange &exchange);
+
+    /** Queues the copy of a flow that has just been established or whose server is to be kept. */
+    void addFlow(flow_hash hash) { m_newFlows.push_back(hash); }
+    /** Queues the end of a flow if it was copied. */
+    void addEnd(const tracked_flow &flow);
+
+    /** Sends what is queued. Flows that ended meanwhile are never sent. */
+    void flush();
+
+    /** Sends the state and all flows of each slot that its default does not cover to a peer. */
+    void copySlots(const std::unordered_map<slot_id, instance_id> &peers);
+
+private:
+    using batch_key = std::tuple<instance_id, service_id, backend_server_id>;
+    using batches = std::map<batch_key, std::vector<flow_hash>>;
+
+    void flushFlows();
+    void flushEnds();
+    void sendBatches(const batches &flows);
+
+    home_store &m_store;
+    peer_exchange &m_exchange;
+    std::vector<flow_hash> m_newFlows;
+    std::vector<std::pair<slot_id, std::uint32_t>> m_ends;
+};
+
+/** Returns the peers that hold copies of a slot. */
+std::vector<instance_id> copyHolders(const slot_home &home);
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/flow_engine.cpp
@@ -0,0 +1,585 @@
+#include "connection/flow_engine.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "connection/admission_policy.h"
+#include "version/route_plan.h"
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A packet is relayed at most twice: to the home, and once more if the homes just changed. */
+constexpr std::uint8_t HopLimit = 2;
+/** A repeated SYN sooner than this is a duplicate made by the network. */
+constexpr duration DuplicateTime = 500ms;
+/** How long a slot's new flows stay tracked after its target last refused one. */
+constexpr duration DeviationHold = 3s;
+
+} // namespace
+
+flow_engine::flow_engine(flow_engine_options options, admission_policy &admission,
+                         domain_predicate mayUseDomain)
+    : m_options(std::move(options))
+    , m_admission(admission)
+    , m_mayUseDomain(std::move(mayUseDomain))
+    , m_hash(m_options.deploymentKey)
+    , m_store(m_options.establishedCapacity, m_options.probationCapacity, *this)
+    , m_exchange(m_options.session)
+    , m_copier(m_store, m_exchange)
+    , m_seenUdp(m_options.udpSeenCapacity)
+    , m_udpReporter(m_seenUdp, m_exchange)
+    , m_settledRoute(m_hash, m_seenUdp)
+    , m_clock(m_options.freshnessLimit)
+{
+    m_cluster.self = m_options.self;
+}
+
+route_decision flow_engine::route(const packet_view &packet, const packet_origin &origin,
+                                  time_point now)
+{
+    if (const auto decision = m_settledRoute.decide(packet, origin, now)) {
+        return *decision;
+    }
+    if (!m_plan) {
+        return drop_action{drop_reason::NoIntent};
+    }
+    const std::optional<service_id> service = m_plan->serviceFor(packet.key);
+    if (!service || m_plan->slotTable(*service) == nullptr) {
+        return drop_action{drop_reason::UnknownService};
+    }
+    const flow_hash hash = hashFlow(packet.key, m_hash);
+    return routeSlow({packet, origin, *service, hash, m_plan->slotOf(*service, hash), now});
+}
+
+route_decision flow_engine::routeSlow(const routed_packet &routed)
+{
+    if (m_clock.wouldJump(routed.now)) {
+        beginSync(routed.now);
+    }
+    if (!m_synchronised) {
+        return routeUnsynchronised(routed);
+    }
+    slot_home *home = m_store.find(routed.slot);
+    if (home != nullptr && home->isActive()) {
+        return routeAtHome(*home, routed);
+    }
+    return isSettled(routed.slot) ? routeSettled(routed) : routeUnsettled(routed);
+}
+
+route_decision flow_engine::routeUnsynchronised(const routed_packet &routed) const
+{
+    const slot_owners owners = m_assignment.owners(routed.slot);
+    for (const std::optional<instance_id> &owner : {owners.home, owners.backup}) {
+        if (owner && *owner != m_options.self) {
+            return relayTo(*owner, routed);
+        }
+    }
+    return drop_action{drop_reason::NoIntent};
+}
+
+route_decision flow_engine::relayTo(instance_id peer, const routed_packet &routed) const
+{
+    if (routed.origin.hops >= HopLimit) {
+        // Guessing the backend server could break the flow; a retransmission takes a new path.
+        return drop_action{drop_reason::HopLimit};
+    }
+    return relay_action{peer, static_cast<std::uint8_t>(routed.origin.hops + 1)};
+}
+
+route_decision flow_engine::routeSettled(const routed_packet &routed)
+{
+    const slot_table &table = *m_plan->slotTable(routed.service);
+    const backend_server_id target = table.targets[routed.slot.index];
+    const slot_owners owners = m_assignment.owners(routed.slot);
+    const member *home = owners.home ? findMember(*owners.home) : nullptr;
+    if (target == NoBackendServer) {
+        return drop_action{drop_reason::NoServerAvailable};
+    }
+    const bool homeCutOff = home != nullptr && isDomainCutOff(home->failureDomain);
+    if (homeCutOff || !isReachable(target)) {
+        return routeCutOff(routed);
+    }
+    // The home has been silent, but its domain has not: it crashed, or only this path is broken.
+    if (routed.origin.hops == 0 && owners.backup && *owners.backup != m_options.self) {
+        return relayTo(*owners.backup, routed);
+    }
+    const bool homeIsSelf = owners.home == m_options.self;
+    const bool known = routed.packet.kind == packet_kind::Udp
+                       && m_seenUdp.record(routed.service, routed.hash, routed.now);
+    const bool first = routed.packet.kind == packet_kind::TcpSyn
+                       || (routed.packet.kind == packet_kind::Udp && !known);
+    if (first && !homeIsSelf) {
+        return drop_action{drop_reason::OutcomeUnknown};
+    }
+    return forward_action{target, first};
+}
+
+route_decision flow_engine::routeUnsettled(const routed_packet &routed)
+{
+    if (routed.packet.kind == packet_kind::Udp) {
+        m_seenUdp.record(routed.service, routed.hash, routed.now);
+    }
+    if (const auto granted = m_granted.find(routed.slot); granted != m_granted.end()) {
+        return relayTo(granted->second.first, routed);
+    }
+    const slot_owners owners = m_assignment.owners(routed.slot);
+    if (!owners.home) {
+        return drop_action{drop_reason::NoServerAvailable};
+    }
+    if (*owners.home != m_options.self) {
+        const member *home = findMember(*owners.home);
+        const bool cutOff = home != nullptr && isDomainCutOff(home->failureDomain);
+        return cutOff ? routeCutOff(routed) : relayTo(*owners.home, routed);
+    }
+    if (const auto awaited = m_awaited.find(routed.slot); awaited != m_awaited.end()) {
+        return relayTo(awaited->second.former, routed);
+    }
+    slot_home *home = openHome(routed.slot, routed.now);
+    if (home == nullptr) {
+        return drop_action{drop_reason::OutcomeUnknown};
+    }
+    return routeAtHome(*home, routed);
+}
+
+route_decision flow_engine::routeCutOff(const routed_packet &routed)
+{
+    const std::optional<instance_id> acting = actingHome(routed.slot);
+    if (!acting) {
+        return drop_action{drop_reason::PartitionSuspected};
+    }
+    if (*acting != m_options.self) {
+        return routed.origin.hops == 0 ? relayTo(*acting, routed)
+                                       : drop_action{drop_reason::PartitionSuspected};
+    }
+    const bool first = routed.packet.kind == packet_kind::TcpSyn;
+    if (first) {
+        m_partitionSignal.onHeld(routed.hash, routed.now);
+    }
+    if (!m_hasOwnCallers) {
+        return drop_action{drop_reason::PartitionSuspected};
+    }
+    const std::optional<slot_state> state = initialState(routed.slot);
+    if (!state) {
+        return drop_action{drop_reason::PartitionSuspected};
+    }
+    // All callers of this side reach only this side, so that no other home sees their flows.
+    slot_state acted = *state;
+    acted.phase = acted.defaultServer == acted.target ? slot_phase::Flipped : slot_phase::Diverting;
+    slot_home &home = m_store.open(acted, home_role::Active, routed.now);
+    home.udpRequested = true;
+    setMark(home, {acted.mark.note, acted.mark.epoch | 1U});
+    refreshSlot(routed.slot);
+    return routeAtHome(home, routed);
+}
+
+route_decision flow_engine::routeAtHome(slot_home &home, const routed_packet &routed)
+{
+    if (routed.packet.kind == packet_kind::Udp) {
+        m_seenUdp.record(routed.service, routed.hash, routed.now);
+    }
+    tracked_flow *flow = m_store.findFlow(routed.hash);
+    const bool isSyn = routed.packet.kind == packet_kind::TcpSyn;
+    if (flow != nullptr && isSyn
+        && (flow->has(tracked_flow::Closing) || isGivenUp(flow->backendServer, routed.now))) {
+        // The caller starts a new flow from the same port.
+        m_store.end(*flow);
+        flow = nullptr;
+    }
+    if (flow != nullptr) {
+        return routeTracked(home, *flow, routed);
+    }
+    const bool isNewUdp = routed.packet.kind == packet_kind::Udp && home.udpComplete();
+    return isSyn || isNewUdp ? routeFirst(home, routed) : routeUnknown(home, routed);
+}
+
+route_decision flow_engine::routeTracked(slot_home &home, tracked_flow &flow,
+                                         const routed_packet &routed)
+{
+    const backend_server_id server = flow.backendServer;
+    if (isGivenUp(server, routed.now)) {
+        // The entry stays until the flow is silent, so that it is never offered elsewhere.
+        return refuse_action{refusal_reason::GivenUp};
+    }
+    if (!isReachable(server)) {
+        return drop_action{drop_reason::PartitionSuspected};
+    }
+    noteTrackedPacket(home, flow, routed);
+    return forward_action{server, false};
+}
+
+void flow_engine::noteTrackedPacket(slot_home &home, tracked_flow &flow,
+                                    const routed_packet &routed)
+{
+    const flow_time now = toFlowTime(routed.now);
+    switch (routed.packet.kind) {
+    case packet_kind::IcmpError:
+        return;
+    case packet_kind::TcpRst:
+        m_store.end(flow);
+        return;
+    case packet_kind::TcpSyn:
+        if (!flow.has(tracked_flow::Answered) && now - flow.lastSeen >= toFlowTime(DuplicateTime)) {
+            m_admission.onEvidence(flow.backendServer, flow_evidence::Retransmitted, routed.now);
+        }
+        flow.lastSeen = now;
+        return;
+    case packet_kind::TcpFin:
+        flow.set(tracked_flow::Closing);
+        break;
+    case packet_kind::TcpMidFlow:
+    case packet_kind::Udp:
+        break;
+    }
+    flow.lastSeen = now;
+    const bool wasOnProbation = flow.has(tracked_flow::Probation);
+    if (wasOnProbation && m_store.flows().promote(flow)
+        && flow.backendServer != home.state().defaultServer) {
+        m_copier.addFlow(flow.hash);
+    }
+}
+
+route_decision flow_engine::routeUnknown(slot_home &home, const routed_packet &routed)
+{
+    const backend_server_id server = home.state().defaultServer;
+    const packet_kind kind = routed.packet.kind;
+    if (isGivenUp(server, routed.now)) {
+        if (kind == packet_kind::Udp) {
+            // It may be new or old; the reports of UDP flows will tell.
+            return drop_action{drop_reason::OutcomeUnknown};
+        }
+        return refuse_action{refusal_reason::GivenUp};
+    }
+    if (!isReachable(server)) {
+        return drop_action{drop_reason::PartitionSuspected};
+    }
+    const bool ends = kind == packet_kind::TcpRst || kind == packet_kind::IcmpError;
+    if (home.state().phase != slot_phase::Diverting || ends) {
+        return forward_action{server, false};
+    }
+    tracked_flow flow{routed.hash, toFlowTime(routed.now), routed.slot, server, 0};
+    if (kind == packet_kind::Udp) {
+        m_store.trackOnProbation(home, flow);
+    } else if (m_store.trackEstablished(home, flow) == nullptr) {
+        // The default may not flip while a live old flow is untracked.
+        home.restartWait(routed.now);
+    }
+    return forward_action{server, false};
+}
+
+route_decision flow_engine::routeFirst(slot_home &home, const routed_packet &routed)
+{
+    if (m_isolated) {
+        // Another instance may have taken over this slot; a flow started here would be torn.
+        return drop_action{drop_reason::OutcomeUnknown};
+    }
+    if (home.state().phase == slot_phase::Announced) {
+        const backend_server_id server = home.state().defaultServer;
+        if (isGivenUp(server, routed.now) || !isReachable(server)) {
+            return drop_action{drop_reason::OutcomeUnknown};
+        }
+        // Tracked so that a retransmission follows its first copy after the diversion.
+        tracked_flow flow{routed.hash, toFlowTime(routed.now), routed.slot, server, 0};
+        m_store.trackOnProbation(home, flow);
+        return forward_action{server, true};
+    }
+    bool admitted = false;
+    const std::optional<backend_server_id> server = chooseServer(home, routed, admitted);
+    if (!server) {
+        return refuseFirst(home, routed);
+    }
+    return startFlow(home, *server, admitted, routed);
+}
+
+route_decision flow_engine::startFlow(slot_home &home, backend_server_id server, bool admitted,
+                                      const routed_packet &routed)
+{
+    const bool deviating = routed.now - home.deviationNeededAt < DeviationHold;
+    const bool covered = server == home.state().defaultServer
+                         && home.state().phase == slot_phase::Flipped && !deviating;
+    if (covered) {
+        return forward_action{server, true};
+    }
+    tracked_flow flow{routed.hash, toFlowTime(routed.now), routed.slot, server, 0};
+    if (admitted) {
+        flow.set(tracked_flow::Admitted);
+    }
+    if (m_store.trackOnProbation(home, flow) == nullptr) {
+        if (admitted) {
+            m_admission.onFlowEnded(server, routed.now);
+        }
+        return drop_action{drop_reason::TableFull};
+    }
+    return forward_action{server, true};
+}
+
+route_decision flow_engine::refuseFirst(const slot_home &home, const routed_packet &routed) const
+{
+    const auto &servers = m_plan->currentIntent().backendServers;
+    const bool none = std::none_of(servers.begin(), servers.end(), [&](const auto &server) {
+        return server.service == routed.service && acceptsPackets(m_plan->currentIntent(), server);
+    });
+    if (none) {
+        return drop_action{drop_reason::NoServerAvailable};
+    }
+    const bool partitioned = !m_cluster.suspectedPartitions.empty();
+    if (!partitioned && home.knowsFirstPackets(routed.now)) {
+        return refuse_action{refusal_reason::Overloaded};
+    }
+    return drop_action{drop_reason::OutcomeUnknown};
+}
+
+std::optional<backend_server_id>
+flow_engine::chooseServer(slot_home &home, const routed_packet &routed, bool &admitted)
+{
+    const backend_server_id target = home.state().target;
+    const auto accepts = [&](backend_server_id server) {
+        return !isGivenUp(server, routed.now) && isReachable(server);
+    };
+    const bool deviating = routed.now - home.deviationNeededAt < DeviationHold;
+    const bool targetAccepts = accepts(target);
+    if (targetAccepts && home.state().phase == slot_phase::Flipped && !deviating) {
+        return target;
+    }
+    admitted = true;
+    if (targetAccepts && m_admission.admitFlow(target, routed.now) == admission::Admit) {
+        return target;
+    }
+    for (const backend_server_id next : nextChoices(routed.service, routed.hash, target)) {
+        if (accepts(next) && m_admission.admitFlow(next, routed.now) == admission::Admit) {
+            return next;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<backend_server_id> flow_engine::nextChoices(service_id service, flow_hash hash,
+                                                        backend_server_id except) const
+{
+    const intent &current = m_plan->currentIntent();
+    std::vector<std::pair<double, backend_server_id>> scores;
+    for (const backend_server &server : current.backendServers) {
+        if (server.service != service || server.id == except || !acceptsNewFlows(current, server)) {
+            continue;
+        }
+        constexpr double Scale = 1.0 / (1ULL << 53);
+        const std::uint64_t mixed = m_hash(hash.value, server.id.value) >> 11;
+        const double unit = (static_cast<double>(mixed) + 0.5) * Scale;
+        scores.emplace_back(-std::log(unit) / server.weight, server.id);
+    }
+    std::sort(scores.begin(), scores.end());
+    std::vector<backend_server_id> choices;
+    choices.reserve(scores.size());
+    for (const auto &[score, server] : scores) {
+        choices.push_back(server);
+    }
+    return choices;
+}
+
+answer_decision flow_engine::onAnswer(const packet_view &packet, backend_server_id sender,
+                                      time_point now, const packet_origin &origin)
+{
+    if (!m_plan) {
+        return drop_crossed_action{};
+    }
+    const std::optional<service_id> service = m_plan->serviceFor(packet.key);
+    if (!service || m_plan->slotTable(*service) == nullptr) {
+        return drop_crossed_action{};
+    }
+    const flow_hash hash = hashFlow(packet.key, m_hash);
+    const slot_id slot = m_plan->slotOf(*service, hash);
+    const routed_packet routed{packet, origin, *service, hash, slot, now};
+    slot_home *home = m_store.find(slot);
+    if (m_synchronised && home != nullptr && home->isActive()) {
+        return answerAtHome(*home, routed, sender);
+    }
+    return answerElsewhere(routed, sender);
+}
+
+answer_decision flow_engine::answerAtHome(slot_home &home, const routed_packet &routed,
+                                          backend_server_id sender)
+{
+    tracked_flow *flow = m_store.findFlow(routed.hash);
+    if (isGivenUp(sender, routed.now)) {
+        return drop_crossed_action{};
+    }
+    if (flow == nullptr) {
+        return sender == home.state().defaultServer ? answer_decision{pass_action{}}
+                                                    : answer_decision{drop_crossed_action{}};
+    }
+    if (flow->backendServer != sender) {
+        return drop_crossed_action{};
+    }
+    flow->lastSeen = toFlowTime(routed.now);
+    const bool reset = routed.packet.kind == packet_kind::TcpRst;
+    if (!flow->has(tracked_flow::Answered)) {
+        flow->set(tracked_flow::Answered);
+        m_admission.onEvidence(sender, reset ? flow_evidence::Reset : flow_evidence::Answered,
+                               routed.now);
+    }
+    if (reset) {
+        m_store.end(*flow);
+    }
+    return pass_action{};
+}
+
+answer_decision flow_engine::answerElsewhere(const routed_packet &routed,
+                                             backend_server_id sender) const
+{
+    const slot_table &table = *m_plan->slotTable(routed.service);
+    const backend_server_id target = table.targets[routed.slot.index];
+    const bool settled = m_synchronised && isSettled(routed.slot);
+    if (settled) {
+        return sender == target ? answer_decision{pass_action{}}
+                                : answer_decision{drop_crossed_action{}};
+    }
+    std::optional<instance_id> home = m_assignment.owners(routed.slot).home;
+    if (const auto granted = m_granted.find(routed.slot); granted != m_granted.end()) {
+        home = granted->second.first;
+    } else if (const auto awaited = m_awaited.find(routed.slot); awaited != m_awaited.end()) {
+        home = awaited->second.former;
+    }
+    if (home && *home != m_options.self && routed.origin.hops < HopLimit) {
+        return relay_action{*home, static_cast<std::uint8_t>(routed.origin.hops + 1)};
+    }
+    const std::optional<slot_mark> mark = m_marks.find(routed.slot);
+    const auto earlier = mark ? table.targetAt(routed.slot.index, mark->note) : std::nullopt;
+    const bool plausible = sender == target || (earlier && sender == *earlier);
+    return plausible ? answer_decision{pass_action{}} : answer_decision{drop_crossed_action{}};
+}
+
+bool flow_engine::isReachable(backend_server_id server) const
+{
+    return m_settledRoute.isUsable(server);
+}
+
+bool flow_engine::isGivenUp(backend_server_id server, time_point now) const
+{
+    const intent &current = m_plan->currentIntent();
+    const backend_server *known = findBackendServer(current, server);
+    if (known == nullptr || !acceptsPackets(current, *known)) {
+        return true;
+    }
+    // Servers on the other side of a partition look dead from here; their flows are not given up.
+    return !isDomainCutOff(known->failureDomain)
+           && m_admission.health(server, now) == backend_health::Dead;
+}
+
+bool flow_engine::isDomainCutOff(failure_domain_id domain) const
+{
+    const auto &cut = m_cluster.suspectedPartitions;
+    return std::find(cut.begin(), cut.end(), domain) != cut.end()
+           || (m_mayUseDomain && !m_mayUseDomain(domain));
+}
+
+void flow_engine::refreshUsableServers()
+{
+    if (!m_plan) {
+        return;
+    }
+    const intent &current = m_plan->currentIntent();
+    std::vector<std::uint8_t> usable(current.nextBackendServerId, 0);
+    for (const backend_server &server : current.backendServers) {
+        usable[server.id.value] =
+                acceptsPackets(current, server) && !isDomainCutOff(server.failureDomain) ? 1 : 0;
+    }
+    m_settledRoute.setUsableServers(std::move(usable));
+}
+
+void flow_engine::onFlowEnd(const tracked_flow &flow)
+{
+    const slot_home *home = m_store.find(flow.slot);
+    if (home == nullptr || !home->isActive()) {
+        return;
+    }
+    m_copier.addEnd(flow);
+    if (flow.has(tracked_flow::Admitted)) {
+        m_admission.onFlowEnded(flow.backendServer, m_now);
+    }
+}
+
+std::shared_ptr<const settled_route> flow_engine::publishSettledRoute() const
+{
+    return std::make_shared<const settled_route>(m_settledRoute);
+}
+
+std::vector<service_slot_status> flow_engine::slotStatus() const
+{
+    std::map<service_id, service_slot_status> services;
+    if (m_plan) {
+        for (const service &current : m_plan->currentIntent().services) {
+            const slot_table *table = m_plan->slotTable(current.id);
+            const std::size_t slots = table == nullptr ? 0 : table->targets.size();
+            services[current.id] = {current.id, static_cast<std::uint32_t>(slots), 0, 0};
+        }
+    }
+    for (const slot_id slot : m_unsettled) {
+        ++services[slot.service].unsettled;
+    }
+    for (const auto &[slot, home] : m_store.homes()) {
+        services[slot.service].openHomes += home.isActive() ? 1 : 0;
+    }
+    std::vector<service_slot_status> entries;
+    for (const auto &[id, entry] : services) {
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+std::vector<server_flow_status> flow_engine::serverFlowStatus() const
+{
+    std::vector<server_flow_status> entries;
+    if (!m_plan) {
+        return entries;
+    }
+    const std::map<backend_server_id, std::uint32_t> flows = m_store.flowsPerServer();
+    for (const backend_server &server : m_plan->currentIntent().backendServers) {
+        const auto count = flows.find(server.id);
+        const auto since = m_drainingSince.find(server.id);
+        const time_point drainingSince =
+                since == m_drainingSince.end() ? time_point{} : since->second;
+        entries.push_back({server.id, count == flows.end() ? 0 : count->second, server.draining,
+                           drainingSince});
+    }
+    return entries;
+}
+
+std::size_t flow_engine::openHomeCount() const
+{
+    const auto &homes = m_store.homes();
+    return static_cast<std::size_t>(std::count_if(
+            homes.begin(), homes.end(), [](const auto &entry) { return entry.second.isActive(); }));
+}
+
+std::size_t flow_engine::memoryBytes() const
+{
+    return m_store.flows().memoryBytes() + m_seenUdp.memoryBytes();
+}
+
+bool flow_engine::readyToJoin() const
+{
+    if (!m_synchronised || !m_plan) {
+        return false;
+    }
+    return std::all_of(m_cluster.members.begin(), m_cluster.members.end(),
+                       [this](const auto &other) {
+                           const bool isHome =
+                                   other.id != m_options.self && other.state == member_state::Ready;
+                           return !isHome || m_streamedFrom.contains(other.id);
+                       });
+}
+
+bool flow_engine::readyToLeave(time_point now) const
+{
+    // Peers need this long to see the announcement and to choose other backups.
+    constexpr duration AnnouncementTime = 1s;
+    const member *self = selfMember();
+    const bool announced = self != nullptr && self->state == member_state::Leaving
+                           && now - m_leavingSince >= AnnouncementTime;
+    return announced && openHomeCount() == 0 && m_exchange.isIdle();
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/flow_engine.h
@@ -0,0 +1,282 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "connection/answer_decision.h"
+#include "connection/flow_copier.h"
+#include "connection/freshness.h"
+#include "connection/home_assignment.h"
+#include "connection/home_store.h"
+#include "connection/partition_signal.h"
+#include "connection/peer_exchange.h"
+#include "connection/routing_strategy.h"
+#include "connection/settled_route.h"
+#include "connection/slot_marks.h"
+#include "connection/sync_round.h"
+#include "connection/udp_reporter.h"
+#include "connection/udp_seen_set.h"
+
+namespace ebonyway {
+
+class admission_policy;
+
+/** Fixed properties of one engine. */
+struct flow_engine_options
+{
+    instance_id self;
+    std::uint32_t session = 1; ///< Greater than in every earlier life of this instance.
+    std::vector<std::byte> deploymentKey;
+    duration freshnessLimit = std::chrono::seconds{2};
+    /** Longer intervals lose more flows when a home dies; shorter ones cost more messages. */
+    duration copyInterval = std::chrono::milliseconds{500};
+    std::size_t establishedCapacity = 400'000; ///< Tracked flows, as home and as backup.
+    std::size_t probationCapacity = 16'384; ///< First packets.
+    std::size_t udpSeenCapacity = 262'144; ///< UDP flows seen here.
+    backup_placement placement = backup_placement::OtherDomain;
+};
+
+/** Returns whether this instance may send packets to backend servers of the failure domain. */
+using domain_predicate = std::function<bool(failure_domain_id)>;
+
+/** Counts of one service for status. */
+struct service_slot_status
+{
+    service_id service;
+    std::uint32_t slots = 0;
+    std::uint32_t unsettled = 0; ///< As this instance sees it.
+    std::uint32_t openHomes = 0; ///< Unsettled slots whose home is this instance.
+};
+
+/** Tracked flows of one backend server in the homes of this instance. */
+struct server_flow_status
+{
+    backend_server_id backendServer;
+    std::uint32_t flows = 0;
+    bool draining = false;
+    time_point drainingSince{}; ///< When this instance adopted the drain; only if draining.
+};
+
+/**
+ * The product's routing strategy: slot homes, transitions between targets and tracked flows, as
+ * described in section 5 of docs/design.md. Pure: takes packets, messages and times and returns
+ * decisions and messages. All functions belong to the control thread; traffic threads use
+ * published settled_route objects.
+ */
+class flow_engine
+    : public routing_strategy
+    , private flow_end_listener
+{
+public:
+    /** The admission policy must outlive the engine. Without predicate every domain is allowed. */
+    flow_engine(flow_engine_options options, admission_policy &admission,
+                domain_predicate mayUseDomain = {});
+    flow_engine(const flow_engine &) = delete;
+    flow_engine &operator=(const flow_engine &) = delete;
+
+    void adoptPlan(std::shared_ptr<const route_plan> plan, time_point now) override;
+    void updateCluster(const cluster_view &cluster, time_point now) override;
+    route_decision route(const packet_view &packet, const packet_origin &origin,
+                         time_point now) override;
+
+    /** Decides a packet from a backend server to a caller. */
+    answer_decision onAnswer(const packet_view &packet, backend_server_id sender, time_point now,
+                             const packet_origin &origin = {});
+    /** Takes a datagram of a peer's engine, already authenticated. Safe for any bytes. */
+    void onMessage(instance_id from, std::span<const std::byte> bytes, time_point now);
+    /** Advances all waits. Call it every 50 to 200 ms. */
+    void onTick(time_point now);
+    /** Returns the datagrams to send to peers' engines, at most FrameSizeLimit bytes each. */
+    std::vector<outgoing_message> takeMessages(time_point now);
+
+    /** Returns a copy of the fast path for the traffic threads; publish it after each tick. */
+    std::shared_ptr<const settled_route> publishSettledRoute() const;
+
+    /** Returns whether this joining instance holds the marks and flows that it needs as a home. */
+    bool readyToJoin() const;
+    /** Returns whether this leaving instance has handed over its homes, and may exit. */
+    bool readyToLeave(time_point now) const;
+
+    std::vector<service_slot_status> slotStatus() const;
+    std::vector<server_flow_status> serverFlowStatus() const;
+    std::size_t openHomeCount() const;
+    std::size_t trackedFlowCount() const { return m_store.flows().size(); }
+    std::size_t memoryBytes() const;
+    bool isSynchronised() const { return m_synchronised; }
+    std::uint64_t malformedMessageCount() const { return m_exchange.malformedCount(); }
+
+private:
+    /** A packet with everything that its decision needs. */
+    struct routed_packet
+    {
+        const packet_view &packet;
+        packet_origin origin;
+        service_id service;
+        flow_hash hash;
+        slot_id slot;
+        time_point now;
+    };
+
+    /** A slot whose former home is alive and has not handed it over yet. */
+    struct awaited_slot
+    {
+        instance_id former;
+        time_point askedAt{};
+    };
+
+    /** A frame of a peer's channel that must be acknowledged before a deviation starts. */
+    struct mark_delivery
+    {
+        instance_id peer;
+        std::uint32_t sequence = 0;
+        std::uint32_t resetCount = 0;
+    };
+
+    // Packets.
+    route_decision routeSlow(const routed_packet &routed);
+    route_decision routeUnsynchronised(const routed_packet &routed) const;
+    route_decision routeSettled(const routed_packet &routed);
+    route_decision routeUnsettled(const routed_packet &routed);
+    route_decision routeCutOff(const routed_packet &routed);
+    route_decision relayTo(instance_id peer, const routed_packet &routed) const;
+    route_decision routeAtHome(slot_home &home, const routed_packet &routed);
+    route_decision routeTracked(slot_home &home, tracked_flow &flow, const routed_packet &routed);
+    route_decision routeUnknown(slot_home &home, const routed_packet &routed);
+    route_decision routeFirst(slot_home &home, const routed_packet &routed);
+    route_decision startFlow(slot_home &home, backend_server_id server, bool admitted,
+                             const routed_packet &routed);
+    route_decision refuseFirst(const slot_home &home, const routed_packet &routed) const;
+    std::optional<backend_server_id> chooseServer(slot_home &home, const routed_packet &routed,
+                                                  bool &admitted);
+    std::vector<backend_server_id> nextChoices(service_id service, flow_hash hash,
+                                               backend_server_id except) const;
+    void noteTrackedPacket(slot_home &home, tracked_flow &flow, const routed_packet &routed);
+    answer_decision answerAtHome(slot_home &home, const routed_packet &routed,
+                                 backend_server_id sender);
+    answer_decision answerElsewhere(const routed_packet &routed, backend_server_id sender) const;
+
+    // Backend servers.
+    bool isReachable(backend_server_id server) const;
+    bool isGivenUp(backend_server_id server, time_point now) const;
+    bool isDomainCutOff(failure_domain_id domain) const;
+    void refreshUsableServers();
+
+    // Slots.
+    bool isSettled(slot_id slot) const;
+    void refreshSlot(slot_id slot);
+    void refreshAllSlots();
+    std::optional<slot_state> initialState(slot_id slot) const;
+    slot_home *openHome(slot_id slot, time_point now);
+    void setMark(slot_home &home, slot_mark mark);
+    void settle(slot_home &home);
+    void retargetHomes(time_point now);
+    void sendState(const slot_home &home);
+    bool awaitFormerHome(slot_id slot);
+    std::uint16_t memberIndex(instance_id id) const;
+    bool everyoneRelays(const slot_home &home, time_point now);
+    bool isMarkDelivered(const slot_home &home, time_point now);
+
+    // Ticks.
+    void openDueHomes(time_point now);
+    void advanceHomes(time_point now);
+    void flipHomes(const std::unordered_set<slot_id> &flipped);
+    void requestUdpReports(slot_home &home, time_point now);
+    void sendUdpRequests(time_point now);
+    void trackReportedFlow(flow_hash hash, service_id service, time_point now);
+    void checkDeviations(time_point now);
+    void openDeviation(slot_id slot, time_point now);
+    void maintainCopies(time_point now);
+    void streamToJoiners(time_point now);
+    void prepareProspects(std::vector<home_candidate> candidates, instance_id joiner);
+    void moveHomes(time_point now);
+    void grantSlots(const std::unordered_map<slot_id, instance_id> &receivers, time_point now);
+    void askFormerHomes(time_point now);
+    void expireFlows(time_point now);
+    void updateHomeShares(time_point now);
+
+    // Membership.
+    const member *findMember(instance_id id) const;
+    const member *selfMember() const;
+    bool isAlive(instance_id id) const;
+    bool isJoinedMember() const;
+    void refreshAssignment(time_point now);
+    void onAssignmentChanged(time_point now);
+    void refreshFreshness();
+    void updateIsolation(time_point now);
+    std::optional<instance_id> actingHome(slot_id slot) const;
+
+    // Synchronisation.
+    void beginSync(time_point now);
+    void advanceSync(time_point now);
+    void finishSync(time_point now);
+    void surrenderHomes();
+
+    // Records from peers.
+    void onRecord(instance_id from, const mark_record &record, time_point now);
+    void onRecord(instance_id from, const state_record &record, time_point now);
+    void onRecord(instance_id from, const flow_record &record, time_point now);
+    void onRecord(instance_id from, const flow_end_record &record, time_point now);
+    void onRecord(instance_id from, const handover_request &record, time_point now);
+    void onRecord(instance_id from, const handover_none &record, time_point now);
+    void onRecord(instance_id from, const udp_request &record, time_point now);
+    void onRecord(instance_id from, const udp_report &record, time_point now);
+    void onRecord(instance_id from, const udp_report_end &record, time_point now);
+    void onRecord(instance_id from, const sync_request &record, time_point now);
+    void onRecord(instance_id from, const sync_base &record, time_point now);
+    void onRecord(instance_id from, const sync_end &record, time_point now);
+    void onRecord(instance_id from, const stream_end &record, time_point now);
+    void takeOver(slot_home &home, time_point now);
+    bool hasSlot(slot_id slot) const;
+
+    void onFlowEnd(const tracked_flow &flow) override;
+
+    flow_engine_options m_options;
+    admission_policy &m_admission;
+    domain_predicate m_mayUseDomain;
+    keyed_hash m_hash;
+    time_point m_now{};
+
+    std::shared_ptr<const route_plan> m_plan;
+    cluster_view m_cluster;
+    home_assignment m_assignment;
+    home_assignment m_formerAssignment;
+    time_point m_assignedAt{};
+    std::set<instance_id> m_left; ///< Members that announced that they leave.
+    std::set<instance_id> m_newcomers; ///< Asked for marks but are not in the view yet.
+
+    slot_marks m_marks;
+    home_store m_store;
+    peer_exchange m_exchange;
+    flow_copier m_copier;
+    udp_seen_set m_seenUdp;
+    udp_reporter m_udpReporter;
+    settled_route m_settledRoute;
+    partition_signal m_partitionSignal;
+    clock_watch m_clock;
+    sync_round m_sync;
+
+    bool m_synchronised = false;
+    bool m_isolated = false; ///< Other members exist, but none of them has been heard lately.
+    bool m_hasOwnCallers = false; ///< During a partition: see partition_signal.
+    bool m_sharesDirty = true;
+    std::set<slot_id> m_unsettled; ///< Slots of the plan that are not settled here.
+    std::unordered_map<slot_id, awaited_slot> m_awaited;
+    std::unordered_map<slot_id, std::vector<mark_delivery>> m_markDeliveries;
+    std::unordered_map<slot_id, std::pair<instance_id, time_point>> m_granted;
+    std::set<std::pair<slot_id, instance_id>> m_declined; ///< Former homes without state.
+    std::unordered_set<slot_id> m_dropLater;
+    std::unordered_set<slot_id> m_takenOver; ///< Counts and times are refreshed in the next tick.
+    home_assignment m_prospects; ///< Homes as they will be once m_prospectFor has joined.
+    instance_id m_prospectFor;
+    std::vector<slot_id> m_udpRequestsDue;
+    std::map<instance_id, std::uint32_t> m_seenResets; ///< Channel resets already handled.
+    std::set<instance_id> m_streamedTo; ///< Joining members that hold what they need.
+    std::set<instance_id> m_streamedFrom; ///< Homes that have sent us what we need.
+    std::map<backend_server_id, time_point> m_drainingSince;
+    time_point m_copiedAt{};
+    time_point m_deviationCheckedAt{};
+    time_point m_leavingSince{};
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/flow_engine_members.cpp
@@ -0,0 +1,227 @@
+#include <algorithm>
+
+#include "connection/flow_engine.h"
+#include "version/route_plan.h"
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** How long a dead member keeps its place, so that its backup stays the home of its slots. */
+constexpr duration TombstoneTime = 60s;
+
+bool isOwnerState(member_state state)
+{
+    return state == member_state::Ready || state == member_state::Suspect;
+}
+
+} // namespace
+
+const member *flow_engine::findMember(instance_id id) const
+{
+    const std::uint16_t index = memberIndex(id);
+    return index == settled_route::NoHome ? nullptr : &m_cluster.members[index];
+}
+
+const member *flow_engine::selfMember() const
+{
+    return findMember(m_options.self);
+}
+
+bool flow_engine::isAlive(instance_id id) const
+{
+    const member *known = findMember(id);
+    return known != nullptr && known->state != member_state::Dead;
+}
+
+void flow_engine::updateCluster(const cluster_view &cluster, time_point now)
+{
+    m_now = now;
+    const member *selfBefore = selfMember();
+    const bool wasOwner = selfBefore != nullptr && isOwnerState(selfBefore->state);
+    const std::vector<failure_domain_id> cutBefore = m_cluster.suspectedPartitions;
+    m_cluster = cluster;
+    for (const member &other : m_cluster.members) {
+        if (other.state == member_state::Leaving) {
+            m_left.insert(other.id);
+        } else if (other.state != member_state::Dead) {
+            m_left.erase(other.id);
+        }
+        if (other.state == member_state::Dead && other.id != m_options.self) {
+            m_exchange.erase(other.id);
+            m_seenResets.erase(other.id);
+            m_streamedFrom.erase(other.id);
+        }
+        m_newcomers.erase(other.id);
+    }
+    const member *self = selfMember();
+    if (self != nullptr && self->state == member_state::Leaving && m_leavingSince == time_point{}) {
+        m_leavingSince = now;
+    }
+    if (wasOwner && self != nullptr && self->state == member_state::Joining) {
+        // The others declared this instance dead and have replaced it.
+        surrenderHomes();
+        beginSync(now);
+    }
+    const bool healed = std::any_of(cutBefore.begin(), cutBefore.end(),
+                                    [this](auto domain) { return !isDomainCutOff(domain); });
+    if (healed) {
+        // The other side may have changed marks; they are fetched before anything is routed.
+        m_partitionSignal.clear();
+        m_hasOwnCallers = false;
+        beginSync(now);
+    }
+    if (!m_synchronised && !m_sync.isRunning()) {
+        beginSync(now);
+    }
+    refreshUsableServers();
+    refreshAssignment(now);
+    refreshFreshness();
+}
+
+void flow_engine::refreshAssignment(time_point now)
+{
+    std::vector<home_candidate> candidates;
+    for (const member &other : m_cluster.members) {
+        if (isOwnerState(other.state)) {
+            candidates.push_back({other.id, other.failureDomain, candidate_role::Eligible});
+        } else if (other.state == member_state::Dead && !m_left.contains(other.id)
+                   && now - other.stateSince < TombstoneTime) {
+            candidates.push_back({other.id, other.failureDomain, candidate_role::Tombstone});
+        }
+    }
+    if (candidates == m_assignment.candidates()) {
+        return;
+    }
+    m_formerAssignment = std::move(m_assignment);
+    m_assignedAt = now;
+    m_declined.clear();
+    m_assignment = home_assignment(std::move(candidates), m_hash, m_options.placement);
+    onAssignmentChanged(now);
+}
+
+void flow_engine::onAssignmentChanged(time_point now)
+{
+    m_sharesDirty = true;
+    for (auto &[slot, home] : m_store.homes()) {
+        const slot_owners owners = m_assignment.owners(slot);
+        if (home.isActive()) {
+            continue;
+        }
+        if (owners.home != m_options.self && owners.backup != m_options.self && isJoinedMember()) {
+            m_dropLater.insert(slot);
+        }
+    }
+    if (m_plan) {
+        for (const slot_id slot : m_unsettled) {
+            const slot_home *home = m_store.find(slot);
+            const bool active = home != nullptr && home->isActive();
+            if (!active && m_assignment.owners(slot).home == m_options.self) {
+                awaitFormerHome(slot);
+            }
+        }
+        refreshAllSlots();
+    }
+    m_settledRoute.setValidUntil(now + m_options.freshnessLimit);
+}
+
+bool flow_engine::isJoinedMember() const
+{
+    const member *self = selfMember();
+    return self != nullptr && isOwnerState(self->state);
+}
+
+void flow_engine::refreshFreshness()
+{
+    std::vector<settled_route::home_entry> homes;
+    homes.reserve(m_cluster.members.size());
+    for (const member &other : m_cluster.members) {
+        const bool self = other.id == m_options.self;
+        const bool cutOff = !self && isDomainCutOff(other.failureDomain);
+        const time_point until =
+                cutOff ? time_point::min() : other.lastHeard + m_options.freshnessLimit;
+        homes.push_back({other.id, self ? time_point::max() : until});
+    }
+    m_settledRoute.setHomes(std::move(homes));
+}
+
+void flow_engine::updateIsolation(time_point now)
+{
+    bool others = false;
+    bool heard = false;
+    for (const member &other : m_cluster.members) {
+        if (other.id == m_options.self || other.state == member_state::Dead) {
+            continue;
+        }
+        others = true;
+        heard |= isFresh(other, now, m_options.freshnessLimit);
+    }
+    m_hasOwnCallers =
+            !m_cluster.suspectedPartitions.empty() && m_partitionSignal.hasOwnCallers(now);
+    m_isolated = others && !heard && !m_hasOwnCallers;
+}
+
+std::optional<instance_id> flow_engine::actingHome(slot_id slot) const
+{
+    const std::optional<instance_id> home = m_assignment.owners(slot).home;
+    const member *owner = home ? findMember(*home) : nullptr;
+    if (owner != nullptr && !isDomainCutOff(owner->failureDomain)) {
+        return home;
+    }
+    return m_assignment.firstOutside(slot, m_cluster.suspectedPartitions);
+}
+
+void flow_engine::surrenderHomes()
+{
+    m_store.clear();
+    m_awaited.clear();
+    m_granted.clear();
+    m_markDeliveries.clear();
+    m_streamedFrom.clear();
+    m_dropLater.clear();
+}
+
+void flow_engine::beginSync(time_point now)
+{
+    m_sync.begin(now);
+    m_synchronised = false;
+    refreshAllSlots();
+    advanceSync(now);
+}
+
+void flow_engine::advanceSync(time_point now)
+{
+    if (!m_sync.isRunning()) {
+        return;
+    }
+    for (const member &other : m_cluster.members) {
+        if (other.id != m_options.self && other.state != member_state::Dead
+            && m_sync.needsRequest(other.id)) {
+            m_exchange.send(other.id, sync_request{m_sync.nonce()});
+        }
+    }
+    if (m_sync.isComplete(m_cluster, m_options.freshnessLimit, now)) {
+        finishSync(now);
+    }
+}
+
+void flow_engine::finishSync(time_point)
+{
+    const note_number note = m_plan ? m_plan->currentIntent().number : note_number{};
+    if (note < m_sync.highestNote()) {
+        return;
+    }
+    m_sync.finish();
+    m_synchronised = true;
+    if (!m_sync.foundMarks() && m_plan) {
+        // The whole deployment has just started: no instance knows of a flow.
+        for (const service &current : m_plan->currentIntent().services) {
+            m_marks.setBase(current.id, note);
+        }
+    }
+    refreshAllSlots();
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/flow_engine_slots.cpp
@@ -0,0 +1,746 @@
+#include <algorithm>
+
+#include "connection/admission_policy.h"
+#include "connection/flow_engine.h"
+#include "version/route_plan.h"
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** How long a change of homes may still be unknown to a slot's former home. */
+constexpr duration FormerHomeTime = 5s;
+constexpr duration DeviationHold = 3s;
+constexpr duration DeviationCheckInterval = 500ms;
+constexpr duration AskInterval = 300ms;
+constexpr duration GrantMemory = 10s;
+/** A flow whose caller has sent FIN ends after this silence, like a half-closed connection. */
+constexpr duration ClosingTime = 120s;
+/** First packets stay tracked over the first four SYN retransmissions. */
+constexpr duration ProbationTime = 15s;
+/** Entries examined per tick; covers the default table in about 16 s at 10 ticks/s. */
+constexpr std::size_t SweepStep = 4096;
+
+duration idleTimeoutOf(const route_plan &plan, service_id id)
+{
+    const service *known = findService(plan.currentIntent(), id);
+    return known == nullptr ? duration{} : duration{known->idleTimeout};
+}
+
+} // namespace
+
+void flow_engine::adoptPlan(std::shared_ptr<const route_plan> plan, time_point now)
+{
+    const intent &next = plan->currentIntent();
+    if (m_plan && next.number <= m_plan->currentIntent().number) {
+        return;
+    }
+    const std::shared_ptr<const route_plan> former = std::move(m_plan);
+    m_plan = std::move(plan);
+    if (m_synchronised) {
+        for (const service &current : next.services) {
+            if (!former || former->slotTable(current.id) == nullptr) {
+                m_marks.setBase(current.id, next.number);
+            }
+        }
+    }
+    std::erase_if(m_drainingSince, [&](const auto &entry) {
+        const backend_server *server = findBackendServer(next, entry.first);
+        return server == nullptr || !server->draining;
+    });
+    for (const backend_server &server : next.backendServers) {
+        if (server.draining) {
+            m_drainingSince.try_emplace(server.id, now);
+        }
+    }
+    m_admission.adoptIntent(next, now);
+    m_settledRoute.setPlan(m_plan);
+    refreshUsableServers();
+    retargetHomes(now);
+    refreshAllSlots();
+    m_sharesDirty = true;
+}
+
+void flow_engine::retargetHomes(time_point now)
+{
+    std::unordered_set<slot_id> withdrawn;
+    std::unordered_set<slot_id> changed;
+    for (auto &[slot, home] : m_store.homes()) {
+        if (!hasSlot(slot)) {
+            withdrawn.insert(slot);
+            continue;
+        }
+        const slot_table &table = *m_plan->slotTable(slot.service);
+        if (home.isActive()
+            && home.retarget(table.targets[slot.index], table.changedAt[slot.index], now)) {
+            changed.insert(slot);
+        }
+    }
+    m_store.drop(withdrawn);
+    for (const slot_id slot : withdrawn) {
+        m_marks.eraseService(slot.service);
+    }
+    m_store.recountDiffering(changed);
+    for (const slot_id slot : changed) {
+        sendState(*m_store.find(slot));
+    }
+}
+
+void flow_engine::sendState(const slot_home &home)
+{
+    for (const instance_id holder : copyHolders(home)) {
+        m_exchange.send(holder, state_record{state_purpose::Copy, home.state()});
+    }
+}
+
+bool flow_engine::hasSlot(slot_id slot) const
+{
+    const slot_table *table = m_plan ? m_plan->slotTable(slot.service) : nullptr;
+    return table != nullptr && slot.index < table->targets.size();
+}
+
+bool flow_engine::isSettled(slot_id slot) const
+{
+    const std::optional<slot_mark> mark = m_marks.find(slot);
+    if (!mark || mark->isDeviating() || mark->note > m_plan->currentIntent().number) {
+        return false;
+    }
+    return m_plan->slotTable(slot.service)->changedAt[slot.index] <= mark->note;
+}
+
+void flow_engine::refreshSlot(slot_id slot)
+{
+    if (!hasSlot(slot)) {
+        return;
+    }
+    const slot_home *home = m_store.find(slot);
+    const bool active = home != nullptr && home->isActive();
+    const bool settled = isSettled(slot);
+    if (settled) {
+        m_unsettled.erase(slot);
+    } else {
+        m_unsettled.insert(slot);
+    }
+    const std::optional<instance_id> owner = m_assignment.owners(slot).home;
+    settled_route::slot_entry entry;
+    entry.target = m_plan->slotTable(slot.service)->targets[slot.index];
+    entry.home = owner ? memberIndex(*owner) : settled_route::NoHome;
+    const bool relays = owner && *owner != m_options.self && !m_granted.contains(slot);
+    if (m_synchronised && !active && settled) {
+        entry.flags = settled_route::slot_entry::Settled;
+    } else if (m_synchronised && !active && relays) {
+        entry.flags = settled_route::slot_entry::RelayHome;
+    }
+    m_settledRoute.setSlot(slot, entry);
+}
+
+std::uint16_t flow_engine::memberIndex(instance_id id) const
+{
+    const auto &members = m_cluster.members;
+    const auto found = std::lower_bound(
+            members.begin(), members.end(), id,
+            [](const member &other, instance_id wanted) { return other.id < wanted; });
+    if (found == members.end() || found->id != id) {
+        return settled_route::NoHome;
+    }
+    return static_cast<std::uint16_t>(found - members.begin());
+}
+
+void flow_engine::refreshAllSlots()
+{
+    if (!m_plan) {
+        return;
+    }
+    m_unsettled.clear();
+    for (const service &current : m_plan->currentIntent().services) {
+        const slot_table *table = m_plan->slotTable(current.id);
+        if (table == nullptr) {
+            continue;
+        }
+        for (std::size_t index = 0; index < table->targets.size(); ++index) {
+            refreshSlot({current.id, static_cast<std::uint16_t>(index)});
+        }
+    }
+}
+
+std::optional<slot_state> flow_engine::initialState(slot_id slot) const
+{
+    const slot_table &table = *m_plan->slotTable(slot.service);
+    slot_state state;
+    state.slot = slot;
+    state.note = table.changedAt[slot.index];
+    state.target = table.targets[slot.index];
+    state.defaultServer = state.target;
+    if (const std::optional<slot_mark> mark = m_marks.find(slot)) {
+        if (mark->note > m_plan->currentIntent().number) {
+            return std::nullopt;
+        }
+        state.mark = *mark;
+        // Without history the default is "given up": forwarding by guess could run a request twice.
+        state.defaultServer = table.targetAt(slot.index, mark->note).value_or(NoBackendServer);
+    }
+    return state;
+}
+
+slot_home *flow_engine::openHome(slot_id slot, time_point now)
+{
+    slot_home *held = m_store.find(slot);
+    if (held != nullptr) {
+        takeOver(*held, now);
+        return held;
+    }
+    const std::optional<slot_state> state = initialState(slot);
+    if (!state) {
+        return nullptr;
+    }
+    slot_home &home = m_store.open(*state, home_role::Active, now);
+    refreshSlot(slot);
+    return &home;
+}
+
+void flow_engine::takeOver(slot_home &home, time_point now)
+{
+    const slot_id slot = home.state().slot;
+    home.activate(now);
+    m_awaited.erase(slot);
+    m_granted.erase(slot);
+    if (const std::optional<slot_mark> mark = m_marks.find(slot);
+        mark && *mark > home.state().mark) {
+        home.setMark(*mark);
+    }
+    if (hasSlot(slot)) {
+        const slot_table &table = *m_plan->slotTable(slot.service);
+        home.retarget(table.targets[slot.index], table.changedAt[slot.index], now);
+    }
+    m_takenOver.insert(slot);
+    refreshSlot(slot);
+}
+
+void flow_engine::setMark(slot_home &home, slot_mark mark)
+{
+    const slot_id slot = home.state().slot;
+    home.setMark(mark);
+    m_marks.merge(slot, mark);
+    std::vector<mark_delivery> deliveries;
+    const auto announce = [&](instance_id peer) {
+        m_exchange.send(peer, mark_record{slot, mark});
+        peer_channel &channel = m_exchange.channel(peer);
+        deliveries.push_back({peer, channel.lastSequence(), channel.resetCount()});
+    };
+    for (const member &other : m_cluster.members) {
+        if (other.id != m_options.self && other.state != member_state::Dead) {
+            announce(other.id);
+        }
+    }
+    for (const instance_id newcomer : m_newcomers) {
+        announce(newcomer);
+    }
+    if (mark.isDeviating()) {
+        m_markDeliveries[slot] = std::move(deliveries);
+    } else {
+        m_markDeliveries.erase(slot);
+    }
+}
+
+void flow_engine::settle(slot_home &home)
+{
+    const slot_state &state = home.state();
+    slot_mark next{state.note, 0};
+    if (next <= state.mark) {
+        next = {state.mark.note, (state.mark.epoch + 1) & ~1U};
+    }
+    if (next != state.mark) {
+        setMark(home, next);
+    }
+}
+
+bool flow_engine::everyoneRelays(const slot_home &home, time_point now)
+{
+    const bool adopted = std::all_of(
+            m_cluster.members.begin(), m_cluster.members.end(), [&](const member &other) {
+                return other.id == m_options.self || other.adoptedNote >= home.state().note
+                       || !isFresh(other, now, m_options.freshnessLimit);
+            });
+    return adopted && (!home.state().mark.isDeviating() || isMarkDelivered(home, now));
+}
+
+bool flow_engine::isMarkDelivered(const slot_home &home, time_point now)
+{
+    const auto found = m_markDeliveries.find(home.state().slot);
+    if (found == m_markDeliveries.end()) {
+        return true;
+    }
+    std::erase_if(found->second, [&](mark_delivery &delivery) {
+        const member *peer = findMember(delivery.peer);
+        if (peer != nullptr && !isFresh(*peer, now, m_options.freshnessLimit)) {
+            return true;
+        }
+        peer_channel &channel = m_exchange.channel(delivery.peer);
+        if (channel.resetCount() != delivery.resetCount) {
+            channel.enqueue(mark_record{home.state().slot, home.state().mark});
+            delivery = {delivery.peer, channel.lastSequence(), channel.resetCount()};
+        }
+        return channel.isAcknowledged(delivery.sequence);
+    });
+    return found->second.empty();
+}
+
+void flow_engine::onTick(time_point now)
+{
+    m_now = now;
+    if (m_clock.hasJumped(now)) {
+        beginSync(now);
+    }
+    m_settledRoute.setValidUntil(now + m_options.freshnessLimit);
+    refreshAssignment(now);
+    updateIsolation(now);
+    advanceSync(now);
+    if (m_plan) {
+        m_udpReporter.advance(*m_plan, now);
+    }
+    if (!m_plan || !m_synchronised) {
+        return;
+    }
+    m_store.drop(m_dropLater);
+    m_dropLater.clear();
+    askFormerHomes(now);
+    openDueHomes(now);
+    checkDeviations(now);
+    advanceHomes(now);
+    sendUdpRequests(now);
+    expireFlows(now);
+    if (now - m_copiedAt >= m_options.copyInterval) {
+        m_copiedAt = now;
+        m_copier.flush();
+    }
+    maintainCopies(now);
+    streamToJoiners(now);
+    moveHomes(now);
+    updateHomeShares(now);
+}
+
+void flow_engine::openDueHomes(time_point now)
+{
+    std::vector<slot_id> due;
+    for (const slot_id slot : m_unsettled) {
+        const slot_home *home = m_store.find(slot);
+        const bool active = home != nullptr && home->isActive();
+        if (!active && !m_awaited.contains(slot)
+            && m_assignment.owners(slot).home == m_options.self) {
+            due.push_back(slot);
+        }
+    }
+    for (const slot_id slot : due) {
+        if (!awaitFormerHome(slot)) {
+            openHome(slot, now);
+        }
+    }
+    if (!m_takenOver.empty()) {
+        m_store.recountDiffering(m_takenOver);
+        m_store.touch(m_takenOver, now);
+        m_takenOver.clear();
+    }
+}
+
+bool flow_engine::awaitFormerHome(slot_id slot)
+{
+    if (m_now - m_assignedAt > FormerHomeTime) {
+        return false;
+    }
+    const std::optional<instance_id> former = m_formerAssignment.owners(slot).home;
+    if (!former || *former == m_options.self || !isAlive(*former)
+        || m_declined.contains({slot, *former})) {
+        return false;
+    }
+    m_awaited.emplace(slot, awaited_slot{*former, {}});
+    return true;
+}
+
+void flow_engine::askFormerHomes(time_point now)
+{
+    for (auto entry = m_awaited.begin(); entry != m_awaited.end();) {
+        auto &[slot, awaited] = *entry;
+        if (!isAlive(awaited.former) || m_assignment.owners(slot).home != m_options.self) {
+            entry = m_awaited.erase(entry);
+            continue;
+        }
+        if (now - awaited.askedAt >= AskInterval) {
+            awaited.askedAt = now;
+            m_exchange.send(awaited.former, handover_request{slot});
+        }
+        ++entry;
+    }
+    std::erase_if(m_granted, [&](const auto &granted) {
+        const bool old = now - granted.second.second > GrantMemory;
+        return old || !isAlive(granted.second.first);
+    });
+}
+
+void flow_engine::advanceHomes(time_point now)
+{
+    std::unordered_set<slot_id> flipped;
+    std::unordered_set<slot_id> settled;
+    std::unordered_map<slot_id, std::vector<instance_id>> flips;
+    for (auto &[slot, home] : m_store.homes()) {
+        if (!home.isActive() || !hasSlot(slot)) {
+            continue;
+        }
+        home.setEveryoneRelays(everyoneRelays(home, now), now);
+        requestUdpReports(home, now);
+        const slot_phase before = home.state().phase;
+        const bool waitsForReports = before == slot_phase::Diverting && !home.udpComplete();
+        if (!waitsForReports && home.advance(idleTimeoutOf(*m_plan, slot.service), now)) {
+            if (before == slot_phase::Diverting) {
+                flipped.insert(slot);
+            } else {
+                sendState(home);
+            }
+        }
+        const bool quiet = now - home.deviationNeededAt >= DeviationHold;
+        if (home.state().phase == slot_phase::Flipped && home.differing == 0 && quiet
+            && m_assignment.owners(slot).home == m_options.self && !flipped.contains(slot)) {
+            settled.insert(slot);
+        }
+    }
+    flipHomes(flipped);
+    for (const slot_id slot : settled) {
+        settle(*m_store.find(slot));
+    }
+    m_store.drop(settled);
+    for (const slot_id slot : settled) {
+        refreshSlot(slot);
+    }
+}
+
+void flow_engine::flipHomes(const std::unordered_set<slot_id> &flipped)
+{
+    if (flipped.empty()) {
+        return;
+    }
+    // The old flows are copied before the new default, so that the backup never lacks one.
+    m_store.flows().forEach([&](tracked_flow &flow) {
+        if (flipped.contains(flow.slot) && !flow.has(tracked_flow::Copied)
+            && !flow.has(tracked_flow::Probation)
+            && flow.backendServer != m_store.find(flow.slot)->state().target) {
+            m_copier.addFlow(flow.hash);
+        }
+    });
+    m_copier.flush();
+    for (const slot_id slot : flipped) {
+        sendState(*m_store.find(slot));
+    }
+    m_store.forgetFlowsAtTarget(flipped);
+}
+
+void flow_engine::requestUdpReports(slot_home &home, time_point now)
+{
+    const slot_id slot = home.state().slot;
+    if (home.udpRequested) {
+        std::erase_if(home.udpReportsMissing, [&](instance_id peer) {
+            const member *other = findMember(peer);
+            return other == nullptr || !isFresh(*other, now, m_options.freshnessLimit);
+        });
+        return;
+    }
+    const service *known = findService(m_plan->currentIntent(), slot.service);
+    if (known == nullptr || known->protocol != transport_protocol::Udp) {
+        home.udpRequested = true;
+        return;
+    }
+    if (!everyoneRelays(home, now)) {
+        return;
+    }
+    home.udpRequested = true;
+    for (const member &other : m_cluster.members) {
+        if (other.id != m_options.self && isFresh(other, now, m_options.freshnessLimit)) {
+            home.udpReportsMissing.push_back(other.id);
+        }
+    }
+    m_udpRequestsDue.push_back(slot);
+}
+
+void flow_engine::sendUdpRequests(time_point now)
+{
+    std::map<service_id, std::vector<std::uint16_t>> services;
+    for (const slot_id slot : m_udpRequestsDue) {
+        services[slot.service].push_back(slot.index);
+    }
+    m_udpRequestsDue.clear();
+    for (const auto &[service, slots] : services) {
+        for (std::size_t begin = 0; begin < slots.size(); begin += RecordListLimit) {
+            const std::size_t end = std::min(slots.size(), begin + RecordListLimit);
+            udp_request request{m_plan->currentIntent().number, service, {}};
+            request.slots.assign(slots.begin() + begin, slots.begin() + end);
+            for (const member &other : m_cluster.members) {
+                if (other.id != m_options.self && isFresh(other, now, m_options.freshnessLimit)) {
+                    m_exchange.send(other.id, request);
+                }
+            }
+        }
+        for (const flow_hash hash : seenInSlots(m_seenUdp, *m_plan, service, slots, now)) {
+            trackReportedFlow(hash, service, now);
+        }
+    }
+}
+
+void flow_engine::trackReportedFlow(flow_hash hash, service_id service, time_point now)
+{
+    slot_home *home = m_store.find(m_plan->slotOf(service, hash));
+    if (home == nullptr || !home->isActive()) {
+        return;
+    }
+    if (tracked_flow *flow = m_store.findFlow(hash); flow != nullptr) {
+        m_store.flows().promote(*flow);
+        return;
+    }
+    const slot_state &state = home->state();
+    if (state.phase == slot_phase::Flipped && home->deviationNeededAt == time_point{}) {
+        return;
+    }
+    const tracked_flow flow{hash, toFlowTime(now), state.slot, state.defaultServer, 0};
+    if (m_store.trackEstablished(*home, flow) == nullptr) {
+        home->restartWait(now);
+    } else {
+        // The backup must know it too, because unknown UDP flows count as new from now on.
+        m_copier.addFlow(hash);
+    }
+}
+
+void flow_engine::checkDeviations(time_point now)
+{
+    if (now - m_deviationCheckedAt < DeviationCheckInterval) {
+        return;
+    }
+    m_deviationCheckedAt = now;
+    const intent &current = m_plan->currentIntent();
+    std::set<backend_server_id> needed;
+    for (const backend_server &server : current.backendServers) {
+        const bool dead = m_admission.health(server.id, now) == backend_health::Dead;
+        if (acceptsNewFlows(current, server) && !isDomainCutOff(server.failureDomain)
+            && (dead || m_admission.needsDeviation(server.id, now))) {
+            needed.insert(server.id);
+        }
+    }
+    if (needed.empty()) {
+        return;
+    }
+    for (auto &[slot, home] : m_store.homes()) {
+        if (home.isActive() && needed.contains(home.state().target)) {
+            home.deviationNeededAt = now;
+        }
+    }
+    for (const service &known : current.services) {
+        const slot_table *table = m_plan->slotTable(known.id);
+        for (std::size_t index = 0; table != nullptr && index < table->targets.size(); ++index) {
+            const slot_id slot{known.id, static_cast<std::uint16_t>(index)};
+            if (needed.contains(table->targets[index]) && isSettled(slot)
+                && m_assignment.owners(slot).home == m_options.self) {
+                openDeviation(slot, now);
+            }
+        }
+    }
+}
+
+void flow_engine::openDeviation(slot_id slot, time_point now)
+{
+    const slot_home *held = m_store.find(slot);
+    if (held != nullptr && held->isActive()) {
+        return;
+    }
+    if (held != nullptr) {
+        // A copy left over from an earlier transition says nothing about a settled slot.
+        m_store.drop({slot});
+    }
+    const std::optional<slot_state> state = initialState(slot);
+    if (!state) {
+        return;
+    }
+    slot_home &home = m_store.open(*state, home_role::Active, now);
+    home.deviationNeededAt = now;
+    setMark(home, {state->mark.note, state->mark.epoch | 1U});
+    refreshSlot(slot);
+}
+
+void flow_engine::maintainCopies(time_point now)
+{
+    std::set<instance_id> lost;
+    for (const member &other : m_cluster.members) {
+        if (other.id == m_options.self || other.state == member_state::Dead) {
+            continue;
+        }
+        const std::uint32_t resets = m_exchange.channel(other.id).resetCount();
+        const auto [seen, inserted] = m_seenResets.try_emplace(other.id, resets);
+        if (!inserted && seen->second != resets) {
+            seen->second = resets;
+            lost.insert(other.id);
+            m_streamedTo.erase(other.id);
+        }
+    }
+    std::unordered_map<slot_id, instance_id> copies;
+    for (auto &[slot, home] : m_store.homes()) {
+        if (!home.isActive()) {
+            continue;
+        }
+        if (home.successor && lost.contains(*home.successor)) {
+            home.successor.reset();
+        }
+        const std::optional<instance_id> backup = m_assignment.owners(slot).backup;
+        const bool isLost = home.backup && lost.contains(*home.backup);
+        if (home.backup == backup && !isLost) {
+            continue;
+        }
+        home.backup = backup;
+        if (backup && *backup != m_options.self) {
+            copies.emplace(slot, *backup);
+        }
+    }
+    if (!copies.empty()) {
+        m_copier.flush();
+        m_copier.copySlots(copies);
+    }
+    m_now = now;
+}
+
+void flow_engine::streamToJoiners(time_point now)
+{
+    for (const member &joiner : m_cluster.members) {
+        if (joiner.state != member_state::Joining || joiner.id == m_options.self
+            || !isFresh(joiner, now, m_options.freshnessLimit)) {
+            m_streamedTo.erase(joiner.id);
+            continue;
+        }
+        std::vector<home_candidate> candidates = m_assignment.candidates();
+        const home_candidate added{joiner.id, joiner.failureDomain, candidate_role::Eligible};
+        std::erase_if(candidates, [&](const auto &other) { return other.id == joiner.id; });
+        candidates.push_back(added);
+        std::unordered_map<slot_id, instance_id> copies;
+        prepareProspects(candidates, joiner.id);
+        for (auto &[slot, home] : m_store.homes()) {
+            if (home.isActive() && home.successor != joiner.id
+                && m_prospects.owners(slot).home == joiner.id) {
+                home.successor = joiner.id;
+                copies.emplace(slot, joiner.id);
+            }
+        }
+        m_copier.copySlots(copies);
+        if (m_streamedTo.insert(joiner.id).second) {
+            m_exchange.send(joiner.id, stream_end{});
+        }
+    }
+}
+
+void flow_engine::prepareProspects(std::vector<home_candidate> candidates, instance_id joiner)
+{
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto &left, const auto &right) { return left.id < right.id; });
+    if (m_prospectFor == joiner && m_prospects.candidates() == candidates) {
+        return;
+    }
+    m_prospectFor = joiner;
+    m_prospects = home_assignment(std::move(candidates), m_hash, m_options.placement);
+}
+
+void flow_engine::moveHomes(time_point now)
+{
+    std::unordered_map<slot_id, instance_id> receivers;
+    for (const auto &[slot, home] : m_store.homes()) {
+        const std::optional<instance_id> owner = m_assignment.owners(slot).home;
+        if (!home.isActive() || !owner || *owner == m_options.self) {
+            continue;
+        }
+        const member *receiver = findMember(*owner);
+        if (receiver != nullptr && !isDomainCutOff(receiver->failureDomain)
+            && isFresh(*receiver, now, m_options.freshnessLimit)) {
+            receivers.emplace(slot, *owner);
+        }
+    }
+    grantSlots(receivers, now);
+}
+
+void flow_engine::grantSlots(const std::unordered_map<slot_id, instance_id> &receivers,
+                             time_point now)
+{
+    if (receivers.empty()) {
+        return;
+    }
+    m_copier.flush();
+    std::unordered_map<slot_id, instance_id> copies;
+    for (const auto &[slot, receiver] : receivers) {
+        const slot_home &home = *m_store.find(slot);
+        if (home.backup != receiver && home.successor != receiver) {
+            copies.emplace(slot, receiver);
+        }
+    }
+    m_copier.copySlots(copies);
+    std::unordered_set<slot_id> dropped;
+    for (const auto &[slot, receiver] : receivers) {
+        slot_home &home = *m_store.find(slot);
+        m_exchange.send(receiver, state_record{state_purpose::Grant, home.state()});
+        m_granted[slot] = {receiver, now};
+        m_markDeliveries.erase(slot);
+        if (m_assignment.owners(slot).backup == m_options.self) {
+            home.becomeBackup();
+        } else {
+            dropped.insert(slot);
+        }
+    }
+    m_store.drop(dropped);
+    for (const auto &[slot, receiver] : receivers) {
+        refreshSlot(slot);
+    }
+}
+
+void flow_engine::expireFlows(time_point now)
+{
+    const flow_time time = toFlowTime(now);
+    const auto expired = [&](const tracked_flow &flow) {
+        const slot_home *home = m_store.find(flow.slot);
+        if (home == nullptr) {
+            return true;
+        }
+        if (!home->isActive()) {
+            return false;
+        }
+        // Flow times are rounded down to 0.1 s.
+        duration limit = idleTimeoutOf(*m_plan, flow.slot.service) + 1s;
+        if (flow.has(tracked_flow::Probation)) {
+            limit = std::min(limit, duration{ProbationTime});
+        } else if (flow.has(tracked_flow::Closing)) {
+            limit = std::min(limit, duration{ClosingTime});
+        }
+        return time - flow.lastSeen > toFlowTime(limit);
+    };
+    for (const flow_hash hash : m_store.flows().sweep(SweepStep, expired)) {
+        if (tracked_flow *flow = m_store.findFlow(hash); flow != nullptr) {
+            m_store.end(*flow);
+        }
+    }
+}
+
+void flow_engine::updateHomeShares(time_point now)
+{
+    if (!m_sharesDirty) {
+        return;
+    }
+    m_sharesDirty = false;
+    std::map<backend_server_id, std::pair<std::uint32_t, std::uint32_t>> counts;
+    for (const service &known : m_plan->currentIntent().services) {
+        const slot_table *table = m_plan->slotTable(known.id);
+        for (std::size_t index = 0; table != nullptr && index < table->targets.size(); ++index) {
+            auto &[own, all] = counts[table->targets[index]];
+            const slot_id slot{known.id, static_cast<std::uint16_t>(index)};
+            own += m_assignment.owners(slot).home == m_options.self ? 1 : 0;
+            ++all;
+        }
+    }
+    for (const auto &[server, count] : counts) {
+        if (server != NoBackendServer) {
+            const double share = static_cast<double>(count.first) / count.second;
+            m_admission.setHomeShare(server, share, now);
+        }
+    }
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/partition_signal.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+
+#include "core/ids.h"
+#include "core/time.h"
+
+namespace ebonyway {
+
+/**
+ * Tells a failure domain that is cut off together with its own callers from one that shares the
+ * fabric with the other side. During a suspected partition this side holds back first packets for
+ * the other side. A caller of our own repeats its SYN here, so that the ratio of second to first
+ * copies is near 1. With a shared fabric the ratio is at most the share of instances on this side.
+ */
+class partition_signal
+{
+public:
+    /** Records a first packet that was held back. Copies count as retransmissions after 0.5 s. */
+    void onHeld(flow_hash hash, time_point now);
+
+    /** Returns whether the held packets come from callers that reach only this side. */
+    bool hasOwnCallers(time_point now);
+
+    /** Forgets all copies, for when the partition has ended. */
+    void clear();
+
+private:
+    struct held_flow
+    {
+        time_point firstCopy;
+        bool repeated = false;
+    };
+
+    void expire(time_point now);
+
+    std::unordered_map<flow_hash, held_flow> m_held;
+    std::deque<std::pair<time_point, flow_hash>> m_order;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/peer_channel.cpp
@@ -0,0 +1,151 @@
+#include "connection/peer_channel.h"
+
+#include <algorithm>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Fields of the header with the byte order mark. */
+constexpr std::size_t HeaderSize = 18;
+/** Frames in flight to one peer; bounds a burst to about 37 KB. */
+constexpr std::size_t Window = 32;
+/** Frames waiting for one peer, about 18 MB: the flows of one home are far less. */
+constexpr std::size_t WaitingLimit = 16384;
+/** Much longer than the round trip between failure domains and the acknowledgement delay. */
+constexpr duration ResendAfter = 700ms;
+/** Acknowledgements wait for frames that go the same way. */
+constexpr duration AcknowledgeAfter = 250ms;
+constexpr std::size_t AcknowledgeCount = 8;
+
+} // namespace
+
+peer_channel::peer_channel(std::uint32_t session)
+    : m_session(session)
+{ }
+
+void peer_channel::enqueue(const engine_record &record)
+{
+    const std::string encoded = encodeRecord(record);
+    if (HeaderSize + m_open.size() + encoded.size() > FrameSizeLimit) {
+        closeFrame();
+    }
+    m_open += encoded;
+    if (m_frames.size() > WaitingLimit) {
+        // A new session tells the peer that the old sequence numbers are void.
+        reset();
+        ++m_session;
+    }
+}
+
+std::uint32_t peer_channel::lastSequence() const
+{
+    return m_open.empty() ? m_nextSequence - 1 : m_nextSequence;
+}
+
+void peer_channel::closeFrame()
+{
+    if (m_open.empty()) {
+        return;
+    }
+    m_frames.push_back({m_nextSequence, std::move(m_open), false, {}});
+    m_open.clear();
+    ++m_nextSequence;
+}
+
+void peer_channel::reset()
+{
+    m_open.clear();
+    m_frames.clear();
+    m_nextSequence = 1;
+    m_peerAcknowledged = 0;
+    ++m_resetCount;
+}
+
+std::vector<std::vector<std::byte>> peer_channel::takeFrames(time_point now)
+{
+    closeFrame();
+    std::vector<std::vector<std::byte>> frames;
+    const bool resend = !m_frames.empty() && m_frames.front().sent
+                        && now - m_frames.front().sentAt >= ResendAfter;
+    const std::size_t count = std::min(Window, m_frames.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        waiting_frame &frame = m_frames[index];
+        if (frame.sent && !resend) {
+            continue;
+        }
+        frame.sent = true;
+        frame.sentAt = now;
+        frames.push_back(encode(frame.sequence, frame.records));
+    }
+    const bool acknowledge =
+            m_unacknowledgedInput >= AcknowledgeCount
+            || (m_unacknowledgedInput > 0 && now - m_inputSince >= AcknowledgeAfter);
+    if (frames.empty() && acknowledge) {
+        frames.push_back(encode(0, {}));
+    }
+    return frames;
+}
+
+std::vector<std::byte> peer_channel::encode(std::uint32_t sequence, const std::string &records)
+{
+    m_unacknowledgedInput = 0;
+    return encodeFrame({frame_header{}.version, m_session, m_peerSession, sequence, m_received},
+                       records);
+}
+
+bool peer_channel::acceptSession(const frame_header &header)
+{
+    if (header.session < m_peerSession || header.session == 0) {
+        return false;
+    }
+    if (header.session > m_peerSession) {
+        const bool restarted = m_peerSession != 0;
+        m_peerSession = header.session;
+        m_received = 0;
+        if (restarted) {
+            reset();
+        }
+    }
+    return header.peerSession == 0 || header.peerSession == m_session;
+}
+
+bool peer_channel::accept(const frame_header &header, time_point now)
+{
+    const bool current = acceptSession(header);
+    if (m_unacknowledgedInput == 0) {
+        m_inputSince = now;
+    }
+    if (!current) {
+        // The answer tells the peer which session is the current one.
+        m_unacknowledgedInput += header.session == m_peerSession ? AcknowledgeCount : 0;
+        return false;
+    }
+    if (header.peerSession == m_session) {
+        onAcknowledged(header.acknowledged);
+    }
+    if (header.sequence == 0) {
+        return false;
+    }
+    ++m_unacknowledgedInput;
+    if (header.sequence != m_received + 1) {
+        return false;
+    }
+    m_received = header.sequence;
+    return true;
+}
+
+void peer_channel::onAcknowledged(std::uint32_t sequence)
+{
+    if (sequence >= m_nextSequence || sequence <= m_peerAcknowledged) {
+        return;
+    }
+    m_peerAcknowledged = sequence;
+    while (!m_frames.empty() && m_frames.front().sequence <= sequence) {
+        m_frames.pop_front();
+    }
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/peer_channel.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "connection/engine_message.h"
+
+namespace ebonyway {
+
+/**
+ * Reliable, ordered stream of records to and from one peer over datagrams that may be lost,
+ * duplicated or reordered. Frames are acknowledged cumulatively and sent again in order. A restart
+ * of the peer resets the channel.
+ */
+class peer_channel
+{
+public:
+    /** The session must be greater than in any earlier life of this instance. */
+    explicit peer_channel(std::uint32_t session);
+
+    /** Appends a record. Drops everything and resets the channel if too much is waiting. */
+    void enqueue(const engine_record &record);
+
+    /** Returns the number of the frame that carries the last record appended. */
+    std::uint32_t lastSequence() const;
+    bool isAcknowledged(std::uint32_t sequence) const { return sequence <= m_peerAcknowledged; }
+    /** Returns whether everything appended has been acknowledged. */
+    bool isIdle() const { return m_open.empty() && m_frames.empty(); }
+    /** Counts resets; what was sent before a reset may be lost. */
+    std::uint32_t resetCount() const { return m_resetCount; }
+    std::uint32_t session() const { return m_session; }
+
+    /** Returns the frames to send now. */
+    std::vector<std::vector<std::byte>> takeFrames(time_point now);
+
+    /** Takes a frame's header and returns whether its records are next in order. */
+    bool accept(const frame_header &header, time_point now);
+
+private:
+    struct waiting_frame
+    {
+        std::uint32_t sequence = 0;
+        std::string records;
+        bool sent = false;
+        time_point sentAt{};
+    };
+
+    void closeFrame();
+    void reset();
+    void onAcknowledged(std::uint32_t sequence);
+    bool acceptSession(const frame_header &header);
+    std::vector<std::byte> encode(std::uint32_t sequence, const std::string &records);
+
+    std::uint32_t m_session;
+    std::uint32_t m_peerSession = 0;
+    std::uint32_t m_nextSequence = 1;
+    std::uint32_t m_peerAcknowledged = 0;
+    std::uint32_t m_received = 0;
+    std::uint32_t m_resetCount = 0;
+    std::string m_open;
+    std::deque<waiting_frame> m_frames;
+    std::size_t m_unacknowledgedInput = 0;
+    time_point m_inputSince{};
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/slot_home.cpp
@@ -0,0 +1,110 @@
+#include "connection/slot_home.h"
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/**
+ * Time from the moment when every instance relays to the first diversion. A SYN forwarded directly
+ * before is repeated after 1 s (RFC 6298); its copy must still meet the old target.
+ */
+constexpr duration SynRepeatGuard = 1200ms;
+/** An idle timeout is measured in whole packets; relaying and coarse flow times add to it. */
+constexpr duration IdleMargin = 2s;
+/** The second SYN retransmission comes after 3 s. */
+constexpr duration FirstPacketKnowledge = 3500ms;
+
+} // namespace
+
+slot_home::slot_home(const slot_state &state, home_role role, time_point now)
+    : m_state(state)
+    , m_role(role)
+    , m_openedAt(now)
+    , m_phaseSince(now)
+{
+    if (state.phase != slot_phase::Announced) {
+        m_everyoneRelaysSince = now;
+    }
+}
+
+void slot_home::replaceState(const slot_state &state)
+{
+    m_state = state;
+}
+
+void slot_home::activate(time_point now)
+{
+    m_role = home_role::Active;
+    m_phaseSince = now;
+    m_everyoneRelaysSince.reset();
+    if (m_state.phase != slot_phase::Announced) {
+        m_everyoneRelaysSince = now;
+    }
+    udpRequested = false;
+    udpReportsMissing.clear();
+    backup.reset();
+    successor.reset();
+}
+
+bool slot_home::retarget(backend_server_id target, note_number note, time_point now)
+{
+    if (note <= m_state.note) {
+        return false;
+    }
+    m_state.note = note;
+    if (target == m_state.target) {
+        return true;
+    }
+    m_state.target = target;
+    m_phaseSince = now;
+    if (m_state.phase == slot_phase::Flipped) {
+        m_state.phase = slot_phase::Diverting;
+    }
+    return true;
+}
+
+void slot_home::setEveryoneRelays(bool everyone, time_point now)
+{
+    if (m_state.phase != slot_phase::Announced) {
+        return;
+    }
+    if (!everyone) {
+        m_everyoneRelaysSince.reset();
+    } else if (!m_everyoneRelaysSince) {
+        m_everyoneRelaysSince = now;
+    }
+}
+
+bool slot_home::advance(duration idleTimeout, time_point now)
+{
+    switch (m_state.phase) {
+    case slot_phase::Announced:
+        if (!m_everyoneRelaysSince || now - *m_everyoneRelaysSince < SynRepeatGuard) {
+            return false;
+        }
+        m_state.phase = m_state.defaultServer == m_state.target ? slot_phase::Flipped
+                                                                : slot_phase::Diverting;
+        m_phaseSince = now;
+        return true;
+    case slot_phase::Diverting:
+        if (now - m_phaseSince < idleTimeout + IdleMargin) {
+            return false;
+        }
+        m_state.defaultServer = m_state.target;
+        m_state.phase = slot_phase::Flipped;
+        m_phaseSince = now;
+        return true;
+    case slot_phase::Flipped:
+        return false;
+    }
+    return false;
+}
+
+bool slot_home::knowsFirstPackets(time_point now) const
+{
+    return m_everyoneRelaysSince && now - *m_everyoneRelaysSince >= FirstPacketKnowledge;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/slot_home.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "connection/slot_mark.h"
+#include "core/time.h"
+
+namespace ebonyway {
+
+/** Progress of a slot from one agreed target to the next. */
+enum class slot_phase : std::uint8_t {
+    Announced, ///< Some instance may still route directly: everything goes to the default.
+    Diverting, ///< First packets go to the target; unknown flows go to the default.
+    Flipped, ///< The default is the target; only flows that differ stay tracked.
+};
+
+/** What an instance does with the state of a slot. */
+enum class home_role : std::uint8_t {
+    Active, ///< Decides the packets of the slot.
+    Backup, ///< Holds copies, to take over when the home dies.
+};
+
+/** Agreed part of a slot's home state; what the home copies to its backup. */
+struct slot_state
+{
+    slot_id slot;
+    note_number note; ///< The note that chose the target.
+    slot_mark mark; ///< The newest mark that the home knows.
+    backend_server_id defaultServer = NoBackendServer; ///< Where unknown flows go.
+    backend_server_id target = NoBackendServer; ///< Where new flows go.
+    slot_phase phase = slot_phase::Announced;
+
+    bool operator==(const slot_state &) const = default;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(slot, note, mark, defaultServer, target, phase);
+    }
+};
+
+/**
+ * Home state of one unsettled slot: its phase, default and target, and the waits between phases.
+ * Tracked flows are kept apart, in the home_store.
+ */
+class slot_home
+{
+public:
+    /** Opens a slot, or takes over its state from another instance; waits start anew. */
+    slot_home(const slot_state &state, home_role role, time_point now);
+
+    const slot_state &state() const { return m_state; }
+    home_role role() const { return m_role; }
+    bool isActive() const { return m_role == home_role::Active; }
+    time_point openedAt() const { return m_openedAt; }
+
+    /** Replaces the state by a newer copy from the home. */
+    void replaceState(const slot_state &state);
+    /** Becomes the home; the waits of the current phase start anew. */
+    void activate(time_point now);
+    void becomeBackup() { m_role = home_role::Backup; }
+    void setMark(slot_mark mark) { m_state.mark = mark; }
+
+    /** Replaces the target by that of a newer note. Returns whether anything changed. */
+    bool retarget(backend_server_id target, note_number note, time_point now);
+
+    /** Tells whether every live instance relays the slot's packets to this home. */
+    void setEveryoneRelays(bool everyone, time_point now);
+    /** Restarts the wait for old flows, because one of them could not be tracked. */
+    void restartWait(time_point now) { m_phaseSince = now; }
+    /** Moves to the next phase if its wait is over. Returns whether the phase changed. */
+    bool advance(duration idleTimeout, time_point now);
+
+    /**
+     * Returns whether all first packets have passed through this home for longer than a caller
+     * waits before its second SYN retransmission, so that an untracked SYN is the flow's first.
+     */
+    bool knowsFirstPackets(time_point now) const;
+
+    /** Members whose reports of UDP flows are missing. */
+    std::vector<instance_id> udpReportsMissing;
+    bool udpRequested = false;
+    bool udpComplete() const { return udpRequested && udpReportsMissing.empty(); }
+
+    /** Instances that hold copies: the backup and, before a handover, the next home. */
+    std::optional<instance_id> backup;
+    std::optional<instance_id> successor;
+
+    std::uint32_t tracked = 0; ///< Tracked flows of the slot, including those on probation.
+    std::uint32_t differing = 0; ///< Tracked flows whose backend server is not the target.
+    time_point deviationNeededAt{}; ///< When the target last could not take every new flow.
+
+private:
+    slot_state m_state;
+    home_role m_role;
+    time_point m_openedAt;
+    time_point m_phaseSince;
+    std::optional<time_point> m_everyoneRelaysSince;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/slot_marks.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+
+#include "connection/slot_mark.h"
+
+namespace ebonyway {
+
+/**
+ * Marks of all slots, stored sparsely: a slot without an own entry has the mark {base, 0}, where
+ * base is the note at which its service was created. Marks are merged by maximum.
+ */
+class slot_marks
+{
+public:
+    /**
+     * Sets the note since which slots of the service without own mark are settled. Of two bases the
+     * lower one is kept, because it treats more slots as unsettled.
+     */
+    void setBase(service_id service, note_number base);
+
+    /** Merges one mark and returns whether it was newer. */
+    bool merge(slot_id slot, slot_mark mark);
+
+    /** Returns the mark, or nothing if nothing is known about the slot. */
+    std::optional<slot_mark> find(slot_id slot) const;
+
+    /** Forgets a service that was withdrawn. */
+    void eraseService(service_id service);
+
+    /** Forgets everything. */
+    void clear();
+
+    const std::unordered_map<slot_id, slot_mark> &entries() const { return m_entries; }
+    const std::unordered_map<service_id, note_number> &bases() const { return m_bases; }
+
+private:
+    std::unordered_map<slot_id, slot_mark> m_entries;
+    std::unordered_map<service_id, note_number> m_bases;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/sync_round.cpp
@@ -0,0 +1,53 @@
+#include "connection/sync_round.h"
+
+#include <algorithm>
+
+#include "connection/freshness.h"
+
+namespace ebonyway {
+
+std::uint32_t sync_round::begin(time_point now)
+{
+    m_running = true;
+    m_foundMarks = false;
+    m_highestNote = {};
+    m_startedAt = now;
+    m_asked.clear();
+    m_answered.clear();
+    return ++m_nonce;
+}
+
+bool sync_round::onAnswer(instance_id from, const sync_end &answer)
+{
+    if (!m_running || answer.nonce != m_nonce) {
+        return false;
+    }
+    m_answered.insert(from);
+    m_foundMarks |= answer.synchronised;
+    m_highestNote = std::max(m_highestNote, answer.note);
+    return true;
+}
+
+bool sync_round::isComplete(const cluster_view &cluster, duration freshnessLimit,
+                            time_point now) const
+{
+    const bool waitedOut = now - m_startedAt > freshnessLimit;
+    bool othersExist = false;
+    for (const member &other : cluster.members) {
+        if (other.id == cluster.self || other.state == member_state::Dead) {
+            continue;
+        }
+        othersExist = true;
+        const bool silent = waitedOut && !isFresh(other, now, freshnessLimit);
+        if (!m_answered.contains(other.id) && !silent) {
+            return false;
+        }
+    }
+    if (othersExist) {
+        return !m_answered.empty();
+    }
+    // Membership may not have found the others yet.
+    return waitedOut;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/sync_round.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <set>
+
+#include "connection/cluster_view.h"
+#include "connection/engine_message.h"
+
+namespace ebonyway {
+
+/**
+ * One round in which an instance asks all members for their marks, after a start, a standstill or
+ * the end of a partition. Until it is over, the instance routes nothing by its own knowledge.
+ */
+class sync_round
+{
+public:
+    /** Starts a round and returns the nonce of its requests. */
+    std::uint32_t begin(time_point now);
+    bool isRunning() const { return m_running; }
+    std::uint32_t nonce() const { return m_nonce; }
+    void finish() { m_running = false; }
+
+    /** Returns whether the member still has to be asked, and remembers that it was. */
+    bool needsRequest(instance_id peer) { return m_asked.insert(peer).second; }
+    /** Takes an answer and returns whether it belongs to this round. */
+    bool onAnswer(instance_id from, const sync_end &answer);
+
+    /** Returns whether every member that is alive has answered. */
+    bool isComplete(const cluster_view &cluster, duration freshnessLimit, time_point now) const;
+    /** Returns whether an answering member knew all marks. */
+    bool foundMarks() const { return m_foundMarks; }
+    /** Returns the highest note that an answering member has adopted. */
+    note_number highestNote() const { return m_highestNote; }
+
+private:
+    bool m_running = false;
+    bool m_foundMarks = false;
+    std::uint32_t m_nonce = 0;
+    note_number m_highestNote;
+    time_point m_startedAt{};
+    std::set<instance_id> m_asked;
+    std::set<instance_id> m_answered;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/udp_reporter.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <deque>
+#include <vector>
+
+#include "connection/engine_message.h"
+
+namespace ebonyway {
+
+class peer_exchange;
+class route_plan;
+class udp_seen_set;
+
+/** Answers the homes' requests for UDP flows seen here, at a paced rate. */
+class udp_reporter
+{
+public:
+    udp_reporter(const udp_seen_set &seen, peer_exchange &exchange);
+
+    void addRequest(instance_id from, udp_request request);
+    /** Sends the next part of the oldest request whose note has been adopted. */
+    void advance(const route_plan &plan, time_point now);
+
+private:
+    struct open_request
+    {
+        instance_id from;
+        udp_request request;
+        bool collected = false;
+        std::vector<flow_hash> flows;
+    };
+
+    void sendPart(open_request &open);
+
+    const udp_seen_set &m_seen;
+    peer_exchange &m_exchange;
+    std::deque<open_request> m_requests;
+};
+
+/** Returns the flows seen in the slots of a service within its idle timeout. */
+std::vector<flow_hash> seenInSlots(const udp_seen_set &seen, const route_plan &plan,
+                                   service_id service, std::vector<std::uint16_t> slots,
+                                   time_point now);
+
+} // namespace ebonyway
