Fix linter findings in the stand-ins

clang-tidy reported const local results that are returned, which prevents their move, and forward declarations of a foreign namespace; the headers now include json/forwards.h.

--- a/packages/standins/http_port.cpp
+++ b/packages/standins/http_port.cpp
@@ -31,7 +31,7 @@
 
 status http_port::open(const endpoint &local)
 {
-    if (!m_server->bind_to_port(local.address.toString().c_str(), local.port)) {
+    if (!m_server->bind_to_port(local.address.toString(), local.port)) {
         return error{error_kind::Unavailable, "cannot open TCP port " + local.toString(),
                      "Choose an address of this machine and a free port."};
     }
--- a/packages/standins/http_port.h
+++ b/packages/standins/http_port.h
@@ -5,12 +5,11 @@
 #include <string>
 #include <thread>
 
+#include <json/forwards.h>
+
 #include "core/ip_address.h"
 #include "core/result.h"
 
-namespace Json {
-class Value;
-}
 namespace httplib {
 class Server;
 struct Request;
--- a/packages/standins/main_backend_server.cpp
+++ b/packages/standins/main_backend_server.cpp
@@ -35,7 +35,7 @@
 
     status open(const server_options &options)
     {
-        const status opened =
+        status opened =
                 m_tunnel.open(m_loop.sockets(), options.tunnel,
                               [this](const endpoint &, std::span<const std::byte> bytes) {
                                   const std::lock_guard guard(m_mutex);
@@ -170,7 +170,7 @@
         return exitCode;
     }
     standins::backend_server_process process(options);
-    const status opened = process.open(options);
+    status opened = process.open(options);
     if (!isOk(opened)) {
         std::cerr << describe(errorOf(opened)) << '\n';
         return 1;
--- a/packages/standins/option_parser.cpp
+++ b/packages/standins/option_parser.cpp
@@ -74,7 +74,7 @@
 {
     add(name, help, [&target](const std::string &text) -> status {
         double number = 0;
-        const status read = readValue(text, number);
+        status read = readValue(text, number);
         target = std::chrono::duration_cast<duration>(
                 std::chrono::duration<double, std::milli>(number));
         return read;
--- a/packages/standins/platform_control.cpp
+++ b/packages/standins/platform_control.cpp
@@ -89,8 +89,8 @@
     }
     platform_faults faults = platform.faults();
     for (const std::string &key : body.getMemberNames()) {
-        const status applied = key == "instances" ? applyInstances(platform, body[key], now)
-                                                  : applyFault(faults, key, body[key]);
+        status applied = key == "instances" ? applyInstances(platform, body[key], now)
+                                            : applyFault(faults, key, body[key]);
         if (!isOk(applied)) {
             return applied;
         }
--- a/packages/standins/platform_control.h
+++ b/packages/standins/platform_control.h
@@ -1,12 +1,10 @@
 #pragma once
 
+#include <json/forwards.h>
+
 #include "core/result.h"
 #include "core/time.h"
 
-namespace Json {
-class Value;
-}
-
 namespace ebonyway::standins {
 
 class platform_model;
--- a/packages/standins/platform_service.cpp
+++ b/packages/standins/platform_service.cpp
@@ -75,7 +75,7 @@
 
 status platform_service::open()
 {
-    const status loaded = loadState();
+    status loaded = loadState();
     if (!isOk(loaded)) {
         return loaded;
     }
@@ -85,7 +85,7 @@
     m_control.server().Post("/control", [this](const httplib::Request &from,
                                                httplib::Response &to) { onControl(from, to); });
     if (m_options.control.port != 0) {
-        const status opened = m_control.open(m_options.control);
+        status opened = m_control.open(m_options.control);
         if (!isOk(opened)) {
             return opened;
         }
--- a/packages/standins/server_control.cpp
+++ b/packages/standins/server_control.cpp
@@ -89,7 +89,7 @@
         return invalidBody("body", KeysRemedy);
     }
     for (const std::string &key : body.getMemberNames()) {
-        const status applied = applyKey(server, key, body[key], now);
+        status applied = applyKey(server, key, body[key], now);
         if (!isOk(applied)) {
             return applied;
         }
