--- /dev/null
+++ b/packages/connection/capacity_admission.cpp
@@ -0,0 +1,375 @@
+#include "connection/capacity_admission.h"
+
+#include <algorithm>
+
+#include "version/intent.h"
+
+namespace ebonyway {
+
+namespace {
+
+// The summary over a service costs time in proportion to its backend servers; new flows change it
+// little within this time.
+constexpr std::chrono::milliseconds SummaryLifetime{100};
+
+// Part of the margin of the load bound that is kept for the error of the load estimate: the rest of
+// the margin triggers admission to turn flows away.
+constexpr double EstimateReserve = 0.5;
+
+// Part of the connection limit at which the homes take over, before it is reached.
+constexpr double ConnectionWatermark = 0.9;
+
+// Part of the slots in use at which the homes take over. Below it, new flows may double between two
+// reports without reaching the limit; above it, only a home that knows its unanswered flows is quick
+// enough to stop a surge.
+constexpr double SlotWatermark = 0.5;
+
+// A service none of whose flows was answered for longer shows no answers (direct server return, or
+// one-way UDP), so that missing answers prove nothing.
+constexpr std::chrono::seconds AnswerMemory{10};
+
+// After this many refusals in a row, bounded load is given up for the next flow: it may move flows
+// but must never be the reason to refuse one.
+constexpr std::size_t MaximumBoundRefusals = 8;
+
+// A backend server with this share of the mean load at its first report is warm.
+constexpr double WarmShare = 0.5;
+
+// The smallest concurrency over all instances; less than one flow at a time is no progress.
+constexpr double MinimumConcurrency = 1;
+
+/** Returns the share that this instance's flows stand for; without homes they stand for themselves. */
+double countingShare(double homeShare)
+{
+    return homeShare > 0 ? homeShare : 1;
+}
+
+} // namespace
+
+capacity_admission::capacity_admission(admission_settings settings)
+    : m_settings(settings)
+{ }
+
+void capacity_admission::adoptIntent(const intent &current, time_point now)
+{
+    for (auto &[id, service] : m_services) {
+        service.servers.clear();
+    }
+    for (const backend_server &server : current.backendServers) {
+        if (findService(current, server.service) != nullptr) {
+            adoptServer(current, server, now);
+        }
+    }
+    std::erase_if(m_servers, [&current](const auto &entry) {
+        return findBackendServer(current, entry.first) == nullptr
+                || findService(current, entry.second.service) == nullptr;
+    });
+    std::erase_if(m_services, [&current](const auto &entry) {
+        return findService(current, entry.first) == nullptr;
+    });
+    for (auto &[id, service] : m_services) {
+        service.summarisedAt = now - SummaryLifetime;
+        refreshLoad(service, now);
+    }
+    m_hasIntent = true;
+}
+
+void capacity_admission::adoptServer(const intent &current, const backend_server &server,
+                                     time_point now)
+{
+    const auto [entry, added] = m_servers.try_emplace(server.id, m_settings.startShare);
+    server_state &state = entry->second;
+    state.service = server.service;
+    state.weight = server.weight;
+    state.connectionLimit = server.connectionLimit;
+    state.slotLimit = server.slotLimit;
+    if (added && m_hasIntent) {
+        // A backend server that a note adds is cold. At the first intent of this instance the
+        // backend servers have been running, and the first reports tell which of them are cold.
+        state.ramp.restart(now);
+        state.judgedWarmth = true;
+    }
+    service_state &service = m_services[server.service];
+    if (acceptsNewFlows(current, server) && server.weight > 0) {
+        service.servers.push_back(server.id);
+    }
+}
+
+void capacity_admission::setHomeShare(backend_server_id backendServer, double share, time_point now)
+{
+    (void)now;
+    server_state *server = find(backendServer);
+    if (server != nullptr) {
+        server->homeShare = std::clamp(share, 0.0, 1.0);
+    }
+}
+
+admission capacity_admission::admitFlow(backend_server_id backendServer, time_point now)
+{
+    server_state *server = find(backendServer);
+    if (server == nullptr || server->homeShare <= 0) {
+        return admission::TryNext;
+    }
+    service_state &service = m_services[server->service];
+    expireOffers(*server, service, now);
+    refreshLoad(service, now);
+    const bool firstChoice
+            = service.servers.empty() || service.refusalsInRow % service.servers.size() == 0;
+    server->ramp.onProposal(firstChoice, server->homeShare, now);
+    if (!mayAdmit(*server, service, now)) {
+        ++service.refusalsInRow;
+        return admission::TryNext;
+    }
+    service.refusalsInRow = 0;
+    server->ramp.onAdmitted();
+    server->window.onOffered(now);
+    server->load.onAdmitted(now);
+    return admission::Admit;
+}
+
+bool capacity_admission::mayAdmit(server_state &server, const service_state &service,
+                                  time_point now) const
+{
+    // Without probes, only the few flows of a cold start can show that a server has recovered.
+    const bool awaitsProbe = isDead(server, service) && server.judge.isProbed(now);
+    if (awaitsProbe || !server.ramp.mayAdmit()) {
+        return false;
+    }
+    if (!hasConnectionRoom(server, now) || !hasSlotRoom(server, service, now)) {
+        return false;
+    }
+    const std::size_t patience = std::min((service.servers.size() + 1) / 2, MaximumBoundRefusals);
+    const bool boundApplies = service.refusalsInRow < patience;
+    const double oneOwnFlow = 1 / server.homeShare;
+    return !boundApplies || !isOverBound(server, service, oneOwnFlow, now);
+}
+
+bool capacity_admission::hasConnectionRoom(const server_state &server, time_point now) const
+{
+    return server.load.openFlows(countingShare(server.homeShare), now) < server.connectionLimit;
+}
+
+bool capacity_admission::nearsConnectionLimit(const server_state &server, time_point now) const
+{
+    return server.load.projectedFlows(countingShare(server.homeShare), now)
+            >= ConnectionWatermark * server.connectionLimit;
+}
+
+bool capacity_admission::hasSlotRoom(server_state &server, const service_state &service,
+                                     time_point now) const
+{
+    if (!seesAnswers(service, now)) {
+        return true;
+    }
+    const double slots = server.slotLimit * server.ramp.share();
+    const double concurrency = std::max(MinimumConcurrency, slots * server.window.queueFactor());
+    return server.window.hasRoom(concurrency * server.homeShare, now);
+}
+
+bool capacity_admission::isOverBound(const server_state &server, const service_state &service,
+                                     double slack, time_point now) const
+{
+    const double mean = service.load.flowsPerWeight * server.weight;
+    if (mean <= 0 || !server.load.hasReport(now)) {
+        return false;
+    }
+    const double bound = 1 + (m_settings.loadBound - 1) * (1 - EstimateReserve);
+    return server.load.openFlows(countingShare(server.homeShare), now) > bound * mean + slack;
+}
+
+bool capacity_admission::needsDeviation(backend_server_id backendServer, time_point now) const
+{
+    const server_state *server = find(backendServer);
+    if (server == nullptr) {
+        return false;
+    }
+    const service_state &service = m_services.at(server->service);
+    if (health(backendServer, now) != backend_health::Healthy) {
+        return true;
+    }
+    // One server's reports are mostly chance; those of the whole service tell when a surge would hurt.
+    const bool serverBusy = server->judge.busySlots() >= SlotWatermark * server->slotLimit;
+    const bool serviceBusy = service.load.busyShare >= SlotWatermark;
+    return serverBusy || serviceBusy || server->judge.isFailing(now) || nearsConnectionLimit(*server, now)
+            || isOverBound(*server, service, 0, now);
+}
+
+backend_health capacity_admission::health(backend_server_id backendServer, time_point now) const
+{
+    const server_state *server = find(backendServer);
+    if (server == nullptr) {
+        return backend_health::Dead;
+    }
+    if (isDead(*server, m_services.at(server->service))) {
+        return backend_health::Dead;
+    }
+    if (server->ramp.isCold()) {
+        return backend_health::Cold;
+    }
+    if (server->judge.isFailing(now) || !hasConnectionRoom(*server, now)) {
+        return backend_health::Overloaded;
+    }
+    return backend_health::Healthy;
+}
+
+void capacity_admission::onEvidence(backend_server_id backendServer, flow_evidence evidence,
+                                    time_point now)
+{
+    server_state *server = find(backendServer);
+    if (server == nullptr) {
+        return;
+    }
+    service_state &service = m_services[server->service];
+    expireOffers(*server, service, now);
+    const bool ownOffer = server->window.resolveOldest(now);
+    if (evidence == flow_evidence::Answered) {
+        onAnswered(*server, service, now);
+    } else {
+        onFailed(*server, service, ownOffer, now);
+    }
+}
+
+void capacity_admission::onAnswered(server_state &server, service_state &service, time_point now)
+{
+    service.lastAnswer = now;
+    service.everAnswered = true;
+    server.window.onAnswered();
+    server.judge.onAnswered(now);
+    if (!server.judge.isUnready()) {
+        server.ramp.onAnswered(server.homeShare);
+    }
+}
+
+void capacity_admission::onFailed(server_state &server, service_state &service, bool ownOffer,
+                                  time_point now)
+{
+    server.window.onFailed();
+    server.judge.onFailed(now);
+    if (ownOffer) {
+        server.ramp.onFailed(now);
+    }
+    restartIfFailing(server, service, now);
+}
+
+void capacity_admission::restartIfFailing(server_state &server, service_state &service,
+                                          time_point now)
+{
+    if (server.ramp.isCold() || !server.judge.isFailing(now)) {
+        return;
+    }
+    service.summarisedAt = now - SummaryLifetime;
+    refreshLoad(service, now);
+    if (!service.load.distrustsFailing()) {
+        server.ramp.restart(now);
+    }
+}
+
+void capacity_admission::expireOffers(server_state &server, service_state &service, time_point now)
+{
+    const std::uint32_t missing = server.window.expire(now);
+    if (!seesAnswers(service, now)) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < missing; ++i) {
+        onFailed(server, service, true, now);
+    }
+}
+
+void capacity_admission::onLoadReport(const load_report &report, time_point now)
+{
+    server_state *server = find(report.backendServer);
+    if (server == nullptr) {
+        return;
+    }
+    service_state &service = m_services[server->service];
+    expireOffers(*server, service, now);
+    const report_finding finding = server->judge.onReport(report, now);
+    if (report.reachable) {
+        server->load.onReport(report.openConnections, now);
+    }
+    refreshLoad(service, now);
+    if (finding == report_finding::Restarted || (report.reachable && !report.ready)
+        || isDead(*server, service)) {
+        server->ramp.restart(now);
+    } else {
+        judgeWarmth(*server, service, report, now);
+    }
+}
+
+void capacity_admission::judgeWarmth(server_state &server, const service_state &service,
+                                     const load_report &report, time_point now)
+{
+    const bool blind = !seesAnswers(service, now);
+    if (server.ramp.isCold() && blind && report.reachable) {
+        // Without passing answers, a report of a ready endpoint is the only proof there is.
+        server.ramp.continueFrom(server.ramp.share() * 2, now);
+    }
+    const double mean = service.load.flowsPerWeight * server.weight;
+    if (server.judgedWarmth || !report.reachable || mean <= 0) {
+        return;
+    }
+    server.judgedWarmth = true;
+    const double share = report.openConnections / mean;
+    if (share < WarmShare) {
+        server.ramp.continueFrom(share, now);
+    }
+}
+
+void capacity_admission::onFlowEnded(backend_server_id backendServer, time_point now)
+{
+    server_state *server = find(backendServer);
+    if (server != nullptr) {
+        server->load.onEnded(now);
+    }
+}
+
+void capacity_admission::refreshLoad(service_state &service, time_point now)
+{
+    if (now - service.summarisedAt < SummaryLifetime) {
+        return;
+    }
+    service.summarisedAt = now;
+    std::vector<server_load> loads;
+    loads.reserve(service.servers.size());
+    for (const backend_server_id id : service.servers) {
+        loads.push_back(loadOf(m_servers.at(id), now));
+    }
+    service.load = summarise(loads);
+}
+
+server_load capacity_admission::loadOf(const server_state &server, time_point now) const
+{
+    server_load load;
+    load.openFlows = server.load.openFlows(countingShare(server.homeShare), now);
+    load.weight = server.weight;
+    load.busySlots = server.judge.busySlots();
+    load.slotLimit = server.slotLimit;
+    load.failing = server.judge.isFailing(now);
+    load.dead = server.judge.isDead();
+    load.comparable = server.load.hasReport(now) && !server.ramp.isCold() && !load.dead;
+    return load;
+}
+
+bool capacity_admission::seesAnswers(const service_state &service, time_point now) const
+{
+    return service.everAnswered && now - service.lastAnswer <= AnswerMemory;
+}
+
+bool capacity_admission::isDead(const server_state &server, const service_state &service) const
+{
+    return server.judge.isDead() && !service.load.distrustsDead();
+}
+
+capacity_admission::server_state *capacity_admission::find(backend_server_id id)
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+const capacity_admission::server_state *capacity_admission::find(backend_server_id id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/cold_start_ramp.cpp
@@ -0,0 +1,98 @@
+#include "connection/cold_start_ramp.h"
+
+#include <algorithm>
+
+namespace ebonyway {
+
+namespace {
+
+// Share of a step's flows that must be answered before the share doubles (design section 6).
+constexpr double ProvenRatio = 0.95;
+
+// Flows in a step at full share, over all instances. Steps shrink with the share, so that each step
+// lasts as long as the last one at constant load and the work done doubles along with the share. The
+// first step then has 20 flows, the fewest from which 95% can be told from 100%.
+constexpr double StepFlowsAtFullShare = 400;
+
+// An instance with a small home share still needs this many answers in a step.
+constexpr double MinimumStepFlows = 3;
+
+// Fewer failures than this are packet loss: at 1% loss, 3 failures in 40 flows are seen in under 1%
+// of the steps.
+constexpr std::uint32_t MinimumFailures = 3;
+
+// Flows per second, over all instances, that a cold backend server gets even if its share of the
+// load is lower. Without it, the cold start of a service with few new flows would take hours.
+constexpr double MinimumRate = 1.0;
+
+// Flows that unused credit may start at once. More would turn an idle period into a burst.
+constexpr double MaximumCredit = 2;
+
+} // namespace
+
+cold_start_ramp::cold_start_ramp(double startShare)
+    : m_startShare(startShare)
+{ }
+
+void cold_start_ramp::restart(time_point now)
+{
+    continueFrom(m_startShare, now);
+}
+
+void cold_start_ramp::continueFrom(double share, time_point now)
+{
+    m_share = std::clamp(share, m_startShare, 1.0);
+    m_credit = 0;
+    m_creditedAt = now;
+    beginStep();
+}
+
+void cold_start_ramp::onProposal(bool firstChoice, double homeShare, time_point now)
+{
+    if (!isCold()) {
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - m_creditedAt;
+    m_creditedAt = now;
+    m_credit += elapsed.count() * MinimumRate * homeShare;
+    m_credit += firstChoice ? m_share : 0;
+    m_credit = std::min(m_credit, MaximumCredit);
+}
+
+void cold_start_ramp::onAdmitted()
+{
+    m_credit = std::max(0.0, m_credit - 1);
+}
+
+void cold_start_ramp::onAnswered(double homeShare)
+{
+    ++m_answered;
+    const bool enough = m_answered >= stepFlows(homeShare);
+    if (!isCold() || !enough || m_answered < ProvenRatio * (m_answered + m_failed)) {
+        return;
+    }
+    m_share = std::min(1.0, m_share * 2);
+    beginStep();
+}
+
+void cold_start_ramp::onFailed(time_point now)
+{
+    ++m_failed;
+    const double most = (1 - ProvenRatio) * (m_answered + m_failed);
+    if (isCold() && m_failed >= MinimumFailures && m_failed > most) {
+        restart(now);
+    }
+}
+
+void cold_start_ramp::beginStep()
+{
+    m_answered = 0;
+    m_failed = 0;
+}
+
+double cold_start_ramp::stepFlows(double homeShare) const
+{
+    return std::max(MinimumStepFlows, StepFlowsAtFullShare * m_share * homeShare);
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/health_judge.cpp
@@ -0,0 +1,108 @@
+#include "connection/health_judge.h"
+
+namespace ebonyway {
+
+namespace {
+
+// Long enough to see the first SYN retransmissions, which come 1 s after the SYN.
+constexpr std::chrono::seconds EvidenceWindow{2};
+
+// Mirrors the 95% of answers that a cold start demands.
+constexpr double FailingRatio = 0.05;
+
+// At 1% packet loss and 30 flows in the window, 5 failures are seen in about 1 of 100,000 windows.
+constexpr std::int64_t MinimumFailures = 5;
+
+// One lost probe proves nothing; three in a row at 1% loss are one in a million.
+constexpr std::uint32_t DeadReports = 3;
+
+// An answer that is younger overrules failed probes: the probe's path is at fault.
+constexpr std::chrono::seconds AnswerTrust{3};
+
+// Without a report for longer, traffic alone decides.
+constexpr std::chrono::seconds ReportLifetime{15};
+
+// Weight of a new report in the mean of busy slots: a report shows one moment, and on a few slots
+// that is mostly chance.
+constexpr double BusySmoothing = 0.2;
+
+// A report with less than half of the open connections of the one before shows a silent restart.
+// Below this count the drop may be chance.
+constexpr std::uint32_t MinimumConnectionsForDrop = 50;
+
+} // namespace
+
+health_judge::health_judge()
+    : m_answered(EvidenceWindow)
+    , m_failed(EvidenceWindow)
+{ }
+
+void health_judge::onAnswered(time_point now)
+{
+    m_answered.add(1, now);
+    m_lastAnswer = now;
+    m_dead = false;
+}
+
+void health_judge::onFailed(time_point now)
+{
+    m_failed.add(1, now);
+    updateDead(now);
+}
+
+report_finding health_judge::onReport(const load_report &report, time_point now)
+{
+    m_lastReportAt = now;
+    if (!report.reachable) {
+        ++m_unreachableReports;
+        updateDead(now);
+        return report_finding::Nothing;
+    }
+    const report_finding finding = compareWithLast(report);
+    m_unreachableReports = 0;
+    m_dead = false;
+    m_unready = !report.ready;
+    m_busySlots += BusySmoothing * (report.busySlots - m_busySlots);
+    m_lastReport = report;
+    return finding;
+}
+
+report_finding health_judge::compareWithLast(const load_report &report) const
+{
+    if (!m_lastReport) {
+        return report_finding::Nothing;
+    }
+    const bool counted = report.startCount != 0 && m_lastReport->startCount != 0;
+    if (counted && report.startCount != m_lastReport->startCount) {
+        return report_finding::Restarted;
+    }
+    const std::uint32_t before = m_lastReport->openConnections;
+    const bool dropped = before >= MinimumConnectionsForDrop && report.openConnections < before / 2;
+    return dropped ? report_finding::Restarted : report_finding::Nothing;
+}
+
+bool health_judge::isFailing(time_point now) const
+{
+    const std::int64_t failed = m_failed.total(now);
+    const auto all = static_cast<double>(failed + m_answered.total(now));
+    return failed >= MinimumFailures && static_cast<double>(failed) > FailingRatio * all;
+}
+
+bool health_judge::isProbed(time_point now) const
+{
+    return m_lastReportAt && now - *m_lastReportAt <= ReportLifetime;
+}
+
+bool health_judge::isSilent(time_point now) const
+{
+    return m_failed.total(now) >= MinimumFailures && m_answered.total(now) == 0;
+}
+
+void health_judge::updateDead(time_point now)
+{
+    const bool probesFail = m_unreachableReports >= DeadReports && now - m_lastAnswer > AnswerTrust;
+    const bool unconfirmed = m_unreachableReports > 0 || !isProbed(now);
+    m_dead = m_dead || probesFail || (unconfirmed && isSilent(now));
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/load_estimate.cpp
@@ -0,0 +1,77 @@
+#include "connection/load_estimate.h"
+
+#include <algorithm>
+
+namespace ebonyway {
+
+namespace {
+
+// Greatest age of a load report: probe interval, gossip and a lagging endpoint.
+constexpr std::chrono::seconds MaximumReportAge{10};
+
+// A report that has not been replaced for longer is not used: its endpoint has stopped answering.
+constexpr std::chrono::seconds ReportLifetime{15};
+
+// An endpoint that reports too few flows is overruled by the flows of this period. Older flows are
+// left out, because the end of a flow may be seen by another instance after a change of homes.
+constexpr std::chrono::seconds OwnFlowsPeriod{60};
+
+// The report may be as old as MaximumReportAge, and flows that start now show in a report only after
+// that time again.
+constexpr std::chrono::seconds ProjectionPeriod = 2 * MaximumReportAge;
+
+// Weight of the change between two reports. At 8 new and 8 ended flows per second, it leaves a noise
+// of 2 flows/s.
+constexpr double GrowthSmoothing = 0.5;
+
+} // namespace
+
+load_estimate::load_estimate()
+    : m_sinceReport(MaximumReportAge)
+    , m_recent(OwnFlowsPeriod)
+{ }
+
+void load_estimate::onReport(std::uint32_t openConnections, time_point now)
+{
+    if (m_report && now > m_report->receivedAt) {
+        const std::chrono::duration<double> elapsed = now - m_report->receivedAt;
+        const double change = double(openConnections) - m_report->openConnections;
+        m_growth += GrowthSmoothing * (change / elapsed.count() - m_growth);
+    }
+    m_report = report{openConnections, now};
+}
+
+void load_estimate::onAdmitted(time_point now)
+{
+    m_sinceReport.add(1, now);
+    m_recent.add(1, now);
+}
+
+void load_estimate::onEnded(time_point now)
+{
+    m_sinceReport.add(-1, now);
+    m_recent.add(-1, now);
+}
+
+bool load_estimate::hasReport(time_point now) const
+{
+    return m_report && now - m_report->receivedAt <= ReportLifetime;
+}
+
+double load_estimate::openFlows(double homeShare, time_point now) const
+{
+    const double own = static_cast<double>(m_recent.total(now)) / homeShare;
+    if (!hasReport(now)) {
+        return std::max(0.0, own);
+    }
+    const double since = static_cast<double>(m_sinceReport.total(now)) / homeShare;
+    return std::max({0.0, own, m_report->openConnections + since});
+}
+
+double load_estimate::projectedFlows(double homeShare, time_point now) const
+{
+    const double growth = hasReport(now) ? std::max(0.0, m_growth) : 0;
+    return openFlows(homeShare, now) + growth * static_cast<double>(ProjectionPeriod.count());
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/connection/service_load.cpp
@@ -0,0 +1,64 @@
+#include "connection/service_load.h"
+
+#include <algorithm>
+
+namespace ebonyway {
+
+namespace {
+
+// Loads outside these multiples of the median come from restarts or misleading endpoints.
+constexpr double LowestOfMedian = 0.5;
+constexpr double HighestOfMedian = 1.5;
+
+double median(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+double robustMean(const std::vector<server_load> &loads)
+{
+    std::vector<double> perWeight;
+    for (const server_load &load : loads) {
+        if (load.comparable) {
+            perWeight.push_back(load.openFlows / load.weight);
+        }
+    }
+    if (perWeight.empty()) {
+        return 0;
+    }
+    const double middle = median(perWeight);
+    double flows = 0;
+    double weight = 0;
+    for (const server_load &load : loads) {
+        if (!load.comparable) {
+            continue;
+        }
+        const double bounded = std::clamp(load.openFlows / load.weight, LowestOfMedian * middle,
+                                          HighestOfMedian * middle);
+        flows += bounded * load.weight;
+        weight += load.weight;
+    }
+    return flows / weight;
+}
+
+} // namespace
+
+service_load summarise(const std::vector<server_load> &loads)
+{
+    service_load sum;
+    sum.servers = loads.size();
+    sum.flowsPerWeight = robustMean(loads);
+    double slots = 0;
+    for (const server_load &load : loads) {
+        sum.busyShare += load.busySlots;
+        slots += load.slotLimit;
+        sum.failing += load.failing ? 1 : 0;
+        sum.dead += load.dead ? 1 : 0;
+    }
+    sum.busyShare = slots > 0 ? sum.busyShare / slots : 0;
+    return sum;
+}
+
+} // namespace ebonyway
