--- a/packages/connection/flow_engine.h
+++ b/packages/connection/flow_engine.h
@@ -222,7 +222,7 @@
     void onRecord(instance_id from, const udp_request &record, time_point now);
     void onRecord(instance_id from, const udp_report &record, time_point now);
     void onRecord(instance_id from, const udp_report_end &record, time_point now);
-    void onRecord(instance_id from, const sync_request &record, time_point now);
+    void onRecord(instance_id from, const mark_sync_request &record, time_point now);
     void onRecord(instance_id from, const sync_base &record, time_point now);
     void onRecord(instance_id from, const sync_end &record, time_point now);
     void onRecord(instance_id from, const stream_end &record, time_point now);
--- a/packages/connection/flow_engine_members.cpp
+++ b/packages/connection/flow_engine_members.cpp
@@ -199,7 +199,7 @@
     for (const member &other : m_cluster.members) {
         if (other.id != m_options.self && other.state != member_state::Dead
             && m_sync.needsRequest(other.id)) {
-            m_exchange.send(other.id, sync_request{m_sync.nonce()});
+            m_exchange.send(other.id, mark_sync_request{m_sync.nonce()});
         }
     }
     if (m_sync.isComplete(m_cluster, m_options.freshnessLimit, now)) {
--- a/packages/connection/flow_engine_records.cpp
+++ b/packages/connection/flow_engine_records.cpp
@@ -148,7 +148,7 @@
     }
 }
 
-void flow_engine::onRecord(instance_id from, const sync_request &record, time_point now)
+void flow_engine::onRecord(instance_id from, const mark_sync_request &record, time_point now)
 {
     const member *asker = findMember(from);
     if (asker == nullptr) {
