--- a/packages/connection/capacity_admission.cpp
+++ b/packages/connection/capacity_admission.cpp
@@ -20,8 +20,8 @@
 constexpr double ConnectionWatermark = 0.9;
 
 // Part of the slots in use at which the homes take over. Below it, new flows may double between two
-// reports without reaching the limit; above it, only a home that knows its unanswered flows is quick
-// enough to stop a surge.
+// reports without reaching the limit; above it, only a home that knows its unanswered flows is
+// quick enough to stop a surge.
 constexpr double SlotWatermark = 0.5;
 
 // A service none of whose flows was answered for longer shows no answers (direct server return, or
@@ -38,7 +38,8 @@
 // The smallest concurrency over all instances; less than one flow at a time is no progress.
 constexpr double MinimumConcurrency = 1;
 
-/** Returns the share that this instance's flows stand for; without homes they stand for themselves. */
+/** Returns the share that this instance's flows stand for; without homes they stand for themselves.
+ */
 double countingShare(double homeShare)
 {
     return homeShare > 0 ? homeShare : 1;
@@ -62,7 +63,7 @@
     }
     std::erase_if(m_servers, [&current](const auto &entry) {
         return findBackendServer(current, entry.first) == nullptr
-                || findService(current, entry.second.service) == nullptr;
+               || findService(current, entry.second.service) == nullptr;
     });
     std::erase_if(m_services, [&current](const auto &entry) {
         return findService(current, entry.first) == nullptr;
@@ -113,8 +114,8 @@
     service_state &service = m_services[server->service];
     expireOffers(*server, service, now);
     refreshLoad(service, now);
-    const bool firstChoice
-            = service.servers.empty() || service.refusalsInRow % service.servers.size() == 0;
+    const bool firstChoice =
+            service.servers.empty() || service.refusalsInRow % service.servers.size() == 0;
     server->ramp.onProposal(firstChoice, server->homeShare, now);
     if (!mayAdmit(*server, service, now)) {
         ++service.refusalsInRow;
@@ -152,7 +153,7 @@
 bool capacity_admission::nearsConnectionLimit(const server_state &server, time_point now) const
 {
     return server.load.projectedFlows(countingShare(server.homeShare), now)
-            >= ConnectionWatermark * server.connectionLimit;
+           >= ConnectionWatermark * server.connectionLimit;
 }
 
 bool capacity_admission::hasSlotRoom(server_state &server, const service_state &service,
@@ -187,11 +188,12 @@
     if (health(backendServer, now) != backend_health::Healthy) {
         return true;
     }
-    // One server's reports are mostly chance; those of the whole service tell when a surge would hurt.
+    // One server's reports are mostly chance; those of the whole service tell when a surge would
+    // hurt.
     const bool serverBusy = server->judge.busySlots() >= SlotWatermark * server->slotLimit;
     const bool serviceBusy = service.load.busyShare >= SlotWatermark;
-    return serverBusy || serviceBusy || server->judge.isFailing(now) || nearsConnectionLimit(*server, now)
-            || isOverBound(*server, service, 0, now);
+    return serverBusy || serviceBusy || server->judge.isFailing(now)
+           || nearsConnectionLimit(*server, now) || isOverBound(*server, service, 0, now);
 }
 
 backend_health capacity_admission::health(backend_server_id backendServer, time_point now) const
--- a/packages/connection/capacity_admission.h
+++ b/packages/connection/capacity_admission.h
@@ -85,8 +85,8 @@
     void onAnswered(server_state &server, service_state &service, time_point now);
     void onFailed(server_state &server, service_state &service, bool ownOffer, time_point now);
     void restartIfFailing(server_state &server, service_state &service, time_point now);
-    void judgeWarmth(server_state &server, const service_state &service,
-                     const load_report &report, time_point now);
+    void judgeWarmth(server_state &server, const service_state &service, const load_report &report,
+                     time_point now);
 
     bool seesAnswers(const service_state &service, time_point now) const;
     bool isDead(const server_state &server, const service_state &service) const;
--- a/packages/connection/cold_start_ramp.cpp
+++ b/packages/connection/cold_start_ramp.cpp
@@ -10,8 +10,8 @@
 constexpr double ProvenRatio = 0.95;
 
 // Flows in a step at full share, over all instances. Steps shrink with the share, so that each step
-// lasts as long as the last one at constant load and the work done doubles along with the share. The
-// first step then has 20 flows, the fewest from which 95% can be told from 100%.
+// lasts as long as the last one at constant load and the work done doubles along with the share.
+// The first step then has 20 flows, the fewest from which 95% can be told from 100%.
 constexpr double StepFlowsAtFullShare = 400;
 
 // An instance with a small home share still needs this many answers in a step.
--- a/packages/connection/cold_start_ramp.h
+++ b/packages/connection/cold_start_ramp.h
@@ -10,8 +10,8 @@
  * Share of its normal load that one backend server gets from this instance while it is cold.
  *
  * The share starts at the start share and doubles when a step of flows has been answered. It never
- * grows with time alone. Flows are paid for with credit: each flow whose first choice is the backend
- * server adds the current share, so that flows turned away elsewhere do not raise the load.
+ * grows with time alone. Flows are paid for with credit: each flow whose first choice is the
+ * backend server adds the current share, so that flows turned away elsewhere do not raise the load.
  */
 class cold_start_ramp
 {
--- a/packages/connection/engine_message.h
+++ b/packages/connection/engine_message.h
@@ -111,9 +111,10 @@
     bool operator==(const stream_end &) const = default;
 };
 
-using engine_record = std::variant<mark_record, state_record, flow_record, flow_end_record,
-                                   handover_request, handover_none, udp_request, udp_report,
-                                   udp_report_end, mark_sync_request, sync_base, sync_end, stream_end>;
+using engine_record =
+        std::variant<mark_record, state_record, flow_record, flow_end_record, handover_request,
+                     handover_none, udp_request, udp_report, udp_report_end, mark_sync_request,
+                     sync_base, sync_end, stream_end>;
 
 /** Header of each datagram between engines. */
 struct frame_header
--- a/packages/process/edge/platform_adapter.cpp
+++ b/packages/process/edge/platform_adapter.cpp
@@ -23,9 +23,10 @@
 
     result<platform_answer> operator()(const put_object &request) const
     {
-        const result<std::string> written = request.ifVersion
-                ? store.update(request.key, request.value, *request.ifVersion, limit)
-                : store.createIfAbsent(request.key, request.value, limit);
+        const result<std::string> written =
+                request.ifVersion
+                        ? store.update(request.key, request.value, *request.ifVersion, limit)
+                        : store.createIfAbsent(request.key, request.value, limit);
         if (!isOk(written)) {
             return errorOf(written);
         }
--- a/packages/process/edge/sync_connection.cpp
+++ b/packages/process/edge/sync_connection.cpp
@@ -35,8 +35,8 @@
     std::array<std::byte, LengthBytes> length{};
     writeU32(length, 0, static_cast<std::uint32_t>(bytes.size()));
     return stream.send_n(length.data(), length.size(), &timeout) == LengthBytes
-            && stream.send_n(bytes.data(), bytes.size(), &timeout)
-                       == static_cast<ssize_t>(bytes.size());
+           && stream.send_n(bytes.data(), bytes.size(), &timeout)
+                      == static_cast<ssize_t>(bytes.size());
 }
 
 result<std::vector<std::byte>> receiveFrame(ACE_SOCK_Stream &stream, const ACE_Time_Value &timeout)
@@ -62,8 +62,8 @@
 
 } // namespace
 
-result<std::vector<std::byte>> exchangeSync(const endpoint &peer, std::span<const std::byte> request,
-                                            duration limit)
+result<std::vector<std::byte>> exchangeSync(const endpoint &peer,
+                                            std::span<const std::byte> request, duration limit)
 {
     const ACE_Time_Value timeout = toAceTime(limit);
     ACE_SOCK_Stream stream;
--- a/packages/process/edge/sync_connection.h
+++ b/packages/process/edge/sync_connection.h
@@ -21,8 +21,8 @@
  * Sends one request frame to a peer's sync port and reads one response frame. Blocks for at most
  * `limit` per step. Fails with Unavailable or LimitExceeded.
  */
-result<std::vector<std::byte>> exchangeSync(const endpoint &peer, std::span<const std::byte> request,
-                                            duration limit);
+result<std::vector<std::byte>> exchangeSync(const endpoint &peer,
+                                            std::span<const std::byte> request, duration limit);
 
 /** Accepts sync connections. Each carries one request and one response. */
 class sync_server
--- a/packages/process/fenced_object.cpp
+++ b/packages/process/fenced_object.cpp
@@ -15,8 +15,8 @@
     Json::Value json;
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     const bool isParsed = text.size() <= MaxObjectBytes
-            && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
-            && json.isObject();
+                          && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
+                          && json.isObject();
     return isParsed ? std::optional(json) : std::nullopt;
 }
 
--- a/packages/process/lease.cpp
+++ b/packages/process/lease.cpp
@@ -112,8 +112,8 @@
     const duration wait = std::min<duration>(ObservationPeriod, std::max<duration>(left, {}));
     // Spreads the candidates, so that one of them usually wins without a conflict.
     const auto jitter = m_random.below(static_cast<std::uint64_t>(duration(RenewalPeriod).count()));
-    m_nextCall = now + wait + (wait == left ? duration{static_cast<duration::rep>(jitter)}
-                                            : duration{});
+    m_nextCall =
+            now + wait + (wait == left ? duration{static_cast<duration::rep>(jitter)} : duration{});
 }
 
 void lease::onWritten(const std::string &version, time_point now)
@@ -141,9 +141,9 @@
     Json::Value json;
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     const bool isParsed = text.size() <= MaxLeaseBytes
-            && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
-            && json.isObject() && json["epoch"].isUInt64() && json["holder"].isUInt()
-            && json["token"].isString();
+                          && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
+                          && json.isObject() && json["epoch"].isUInt64() && json["holder"].isUInt()
+                          && json["token"].isString();
     if (!isParsed) {
         return std::nullopt;
     }
--- a/packages/process/settings_reader.cpp
+++ b/packages/process/settings_reader.cpp
@@ -1,18 +1,17 @@
 #include "process/settings_reader.h"
 
-#include <algorithm>
-#include <charconv>
-#include <utility>
+#include "version/duration_text.h"
 
 #include <json/writer.h>
 
+#include <algorithm>
+#include <optional>
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
 
-// Ten digits of hours stay far below the range of std::chrono::milliseconds.
-constexpr std::uint64_t MaxDurationCount = 1'000'000'000;
-
 const Json::Value &emptyObject()
 {
     static const Json::Value Empty(Json::objectValue);
@@ -37,31 +36,20 @@
 
 } // namespace
 
-result<std::chrono::milliseconds> parseDuration(const std::string &text)
+result<std::chrono::milliseconds> parseSettingDuration(const std::string &text)
 {
-    const error malformed{error_kind::InvalidInput, "'" + text + "' is not a duration",
-                          "Write a whole number with a unit: ms, s, m or h, for example \"2s\"."};
-    std::uint64_t count = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, count);
-    if (parsed.ec != std::errc{} || count > MaxDurationCount) {
-        return malformed;
-    }
-    const std::string unit(parsed.ptr, end);
-    const auto number = static_cast<std::int64_t>(count);
-    if (unit == "ms") {
-        return std::chrono::milliseconds(number);
-    }
-    if (unit == "s") {
-        return std::chrono::milliseconds(std::chrono::seconds(number));
-    }
-    if (unit == "m") {
-        return std::chrono::milliseconds(std::chrono::minutes(number));
+    const bool inMilliseconds = text.size() > 2 && text.compare(text.size() - 2, 2, "ms") == 0;
+    // "250ms" is read as "250s" and scaled, so that both units share one parser.
+    const std::optional<std::chrono::seconds> parsed =
+            parseDuration(inMilliseconds ? text.substr(0, text.size() - 2) + "s" : text);
+    if (!parsed) {
+        return error{error_kind::InvalidInput, "'" + text + "' is not a duration",
+                     "Write a whole number with a unit: ms, s, m, h or d, for example \"2s\"."};
     }
-    if (unit == "h") {
-        return std::chrono::milliseconds(std::chrono::hours(number));
+    if (inMilliseconds) {
+        return std::chrono::milliseconds(parsed->count());
     }
-    return malformed;
+    return std::chrono::milliseconds(*parsed);
 }
 
 settings_reader::settings_reader(std::string file, std::string path, const Json::Value &object)
@@ -216,7 +204,7 @@
         return fallback;
     }
     const result<std::chrono::milliseconds> parsed =
-            parseDuration(value->isString() ? value->asString() : "");
+            parseSettingDuration(value->isString() ? value->asString() : "");
     if (!isOk(parsed)) {
         fail(key, render(*value), errorOf(parsed).remedy);
         return fallback;
--- a/packages/process/settings_reader.h
+++ b/packages/process/settings_reader.h
@@ -74,6 +74,6 @@
  * Parses a duration such as "250ms", "2s", "5m" or "1h". Fails with InvalidInput if the number or
  * the unit is missing.
  */
-result<std::chrono::milliseconds> parseDuration(const std::string &text);
+result<std::chrono::milliseconds> parseSettingDuration(const std::string &text);
 
 } // namespace ebonyway
--- a/packages/process/sync_message.cpp
+++ b/packages/process/sync_message.cpp
@@ -7,7 +7,8 @@
 constexpr std::uint8_t SyncVersion = 1;
 
 template <typename T>
-result<std::vector<std::byte>> sealWith(const message_authenticator &authenticator, const T &message)
+result<std::vector<std::byte>> sealWith(const message_authenticator &authenticator,
+                                        const T &message)
 {
     std::vector<std::byte> bytes;
     bounded_writer archive(bytes);
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -76,11 +76,11 @@
 
 TEST_CASE_FIXTURE(settings_fixture, "duration, text with units, is parsed exactly")
 {
-    CHECK(valueOf(parseDuration("250ms")) == std::chrono::milliseconds(250));
-    CHECK(valueOf(parseDuration("5m")) == std::chrono::minutes(5));
-    for (const std::string text : {"", "5", "-5s", "5 s", "99999999999h", "s"}) {
+    CHECK(valueOf(parseSettingDuration("250ms")) == std::chrono::milliseconds(250));
+    CHECK(valueOf(parseSettingDuration("5m")) == std::chrono::minutes(5));
+    for (const std::string text : {"", "5", "-5s", "5 s", "99999999999h", "ms", "s"}) {
         CAPTURE(text);
-        CHECK_FALSE(isOk(parseDuration(text)));
+        CHECK_FALSE(isOk(parseSettingDuration(text)));
     }
 }
 
