--- /dev/null
+++ b/packages/process/edge/http_platform_store.cpp
@@ -0,0 +1,242 @@
+#include "process/edge/http_platform_store.h"
+
+#include <memory>
+#include <optional>
+
+#include <httplib.h>
+
+#include "version/json_text.h"
+
+namespace ebonyway {
+
+namespace {
+
+/** A watch answers at its timeout at the latest; this is the time for the answer to travel. */
+constexpr std::chrono::milliseconds WatchMargin{1000};
+
+/** An answer of the server, whatever its status. */
+struct http_answer
+{
+    int status = 0;
+    std::string etag;
+    std::string body;
+};
+
+std::unique_ptr<httplib::Client> makeClient(const endpoint &server, std::chrono::milliseconds limit)
+{
+    auto client = std::make_unique<httplib::Client>(server.address.toString(), server.port);
+    client->set_connection_timeout(limit);
+    client->set_read_timeout(limit);
+    client->set_write_timeout(limit);
+    return client;
+}
+
+error unavailable(const endpoint &server, const std::string &reason)
+{
+    return {error_kind::Unavailable, server.toString() + " did not answer: " + reason,
+            "Check the address and try again later."};
+}
+
+error notUnderstood(const endpoint &server, const std::string &what)
+{
+    return {error_kind::Internal,
+            "the answer of " + server.toString() + " is not understood: " + what,
+            "Check that the address is the platform's object API."};
+}
+
+result<http_answer> sendGet(const endpoint &server, const std::string &path,
+                            const httplib::Params &query, std::chrono::milliseconds limit)
+{
+    http_answer answer;
+    const auto client = makeClient(server, limit);
+    const httplib::Result sent = client->Get(
+            path, query, httplib::Headers{},
+            [&answer](const httplib::Response &response) {
+                answer.status = response.status;
+                answer.etag = response.get_header_value("ETag");
+                return true;
+            },
+            [&answer](const char *data, std::size_t length) {
+                answer.body.append(data, length);
+                return answer.body.size() <= MaxHttpAnswerBytes;
+            });
+    if (!sent) {
+        return unavailable(server, httplib::to_string(sent.error()));
+    }
+    return answer;
+}
+
+/** Turns an answer that is not a success into the error that the interface promises. */
+error errorFor(const endpoint &server, int httpStatus, const std::string &what)
+{
+    const std::string answered = what + " was answered with status " + std::to_string(httpStatus);
+    switch (httpStatus) {
+    case 404:
+        return {error_kind::NotFound, what + " does not exist", "Check the name."};
+    case 412:
+        return {error_kind::Conflict, what + " has been written by someone else",
+                "Read it again before writing."};
+    case 413:
+        return {error_kind::LimitExceeded, what + " is larger than the platform stores",
+                "Make it smaller."};
+    case 503:
+        return unavailable(server, "it is out of service");
+    default:
+        return {error_kind::Internal, answered,
+                "Check that the address is the platform's object API."};
+    }
+}
+
+/** Removes the quotes of an ETag; nothing if it is not a strong ETag. */
+std::optional<std::string> versionIn(const std::string &etag)
+{
+    if (etag.size() < 3 || etag.front() != '"' || etag.back() != '"') {
+        return std::nullopt;
+    }
+    return etag.substr(1, etag.size() - 2);
+}
+
+result<Json::Value> sendJsonGet(const endpoint &server, const std::string &path,
+                                const httplib::Params &query, std::chrono::milliseconds limit)
+{
+    const result<http_answer> answer = sendGet(server, path, query, limit);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    if (valueOf(answer).status != 200) {
+        return errorFor(server, valueOf(answer).status, path);
+    }
+    result<Json::Value> parsed = parseJsonObject(valueOf(answer).body);
+    if (!isOk(parsed)) {
+        return notUnderstood(server, errorOf(parsed).message);
+    }
+    return parsed;
+}
+
+result<object_list> readObjectList(const endpoint &server, const result<Json::Value> &answer)
+{
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    const Json::Value &root = valueOf(answer);
+    if (!root["objects"].isArray() || !root["revision"].isUInt64()) {
+        return notUnderstood(server, "objects or revision is missing");
+    }
+    object_list listed{{}, root["revision"].asUInt64()};
+    for (const Json::Value &item : root["objects"]) {
+        if (!item.isObject() || !item["key"].isString()
+            || !item["version"].isConvertibleTo(Json::stringValue)) {
+            return notUnderstood(server, "an object has no key or version");
+        }
+        listed.objects.push_back({item["key"].asString(), item["version"].asString()});
+    }
+    return listed;
+}
+
+} // namespace
+
+http_platform_store::http_platform_store(const endpoint &platform)
+    : m_platform(platform)
+{ }
+
+result<stored_object> http_platform_store::get(const std::string &key, timeout limit)
+{
+    const result<http_answer> answer = sendGet(m_platform, "/objects/" + key, {}, limit);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    if (valueOf(answer).status != 200) {
+        return errorFor(m_platform, valueOf(answer).status, key);
+    }
+    const auto version = versionIn(valueOf(answer).etag);
+    if (!version) {
+        return notUnderstood(m_platform, "the ETag is missing");
+    }
+    return stored_object{valueOf(answer).body, *version};
+}
+
+result<std::string> http_platform_store::createIfAbsent(const std::string &key,
+                                                        const std::string &value, timeout limit)
+{
+    return put(key, value, "If-None-Match", "*", limit);
+}
+
+result<std::string> http_platform_store::update(const std::string &key, const std::string &value,
+                                                const std::string &version, timeout limit)
+{
+    return put(key, value, "If-Match", "\"" + version + "\"", limit);
+}
+
+result<object_list> http_platform_store::list(const std::string &prefix, const std::string &after,
+                                              timeout limit)
+{
+    const httplib::Params query{{"prefix", prefix}, {"after", after}};
+    return readObjectList(m_platform, sendJsonGet(m_platform, "/objects", query, limit));
+}
+
+result<object_list> http_platform_store::watch(const std::string &prefix, std::uint64_t revision,
+                                               timeout limit)
+{
+    const httplib::Params query{{"prefix", prefix},
+                                {"revision", std::to_string(revision)},
+                                {"timeout_ms", std::to_string(limit.count())}};
+    return readObjectList(m_platform,
+                          sendJsonGet(m_platform, "/watch", query, limit + WatchMargin));
+}
+
+result<std::vector<platform_instance>> http_platform_store::instances(timeout limit)
+{
+    const result<Json::Value> answer = sendJsonGet(m_platform, "/instances", {}, limit);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    std::vector<platform_instance> listed;
+    for (const Json::Value &item : valueOf(answer)["instances"]) {
+        if (!item.isObject() || !item["id"].isUInt() || !item["state"].isString()
+            || !item["failure_domain"].isString() || !item["gossip"].isString()) {
+            return notUnderstood(m_platform, "an instance lacks a field");
+        }
+        listed.push_back({item["id"].asUInt(), item["state"].asString() == "leaving",
+                          item["failure_domain"].asString(), item["gossip"].asString()});
+    }
+    return listed;
+}
+
+result<std::string> http_platform_store::put(const std::string &key, const std::string &value,
+                                             const std::string &conditionName,
+                                             const std::string &condition, timeout limit)
+{
+    const auto client = makeClient(m_platform, limit);
+    const httplib::Result sent = client->Put("/objects/" + key, {{conditionName, condition}}, value,
+                                             "application/octet-stream");
+    const error unknown{error_kind::OutcomeUnknown,
+                        "the write of " + key + " was not confirmed by " + m_platform.toString(),
+                        "Read it back before writing again."};
+    if (!sent) {
+        const bool notSent = sent.error() == httplib::Error::Connection
+                             || sent.error() == httplib::Error::ConnectionTimeout;
+        return notSent ? unavailable(m_platform, httplib::to_string(sent.error())) : unknown;
+    }
+    if (sent->status == 200 || sent->status == 201) {
+        return versionIn(sent->get_header_value("ETag")).value_or("");
+    }
+    if (sent->status >= 500 && sent->status != 503) {
+        return unknown;
+    }
+    return errorFor(m_platform, sent->status, key);
+}
+
+result<std::string> readHttpPage(const endpoint &server, const std::string &path,
+                                 std::chrono::milliseconds limit)
+{
+    const result<http_answer> answer = sendGet(server, path, {}, limit);
+    if (!isOk(answer)) {
+        return errorOf(answer);
+    }
+    if (valueOf(answer).status != 200) {
+        return errorFor(server, valueOf(answer).status, server.toString() + path);
+    }
+    return valueOf(answer).body;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/process/edge/http_platform_store.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/ip_address.h"
+#include "version/platform_store.h"
+
+namespace ebonyway {
+
+/** Largest answer in bytes that a call reads; lists of the large size stay far below it. */
+constexpr std::size_t MaxHttpAnswerBytes = 8'000'000;
+
+/**
+ * The platform's object API over HTTP (section 7 of the design page). Every call opens its own
+ * connection, so calls from several threads do not wait for each other.
+ */
+class http_platform_store : public platform_store
+{
+public:
+    explicit http_platform_store(const endpoint &platform);
+
+    result<stored_object> get(const std::string &key, timeout limit) override;
+    result<std::string> createIfAbsent(const std::string &key, const std::string &value,
+                                       timeout limit) override;
+    result<std::string> update(const std::string &key, const std::string &value,
+                               const std::string &version, timeout limit) override;
+    result<object_list> list(const std::string &prefix, const std::string &after,
+                             timeout limit) override;
+    result<object_list> watch(const std::string &prefix, std::uint64_t revision,
+                              timeout limit) override;
+    result<std::vector<platform_instance>> instances(timeout limit) override;
+
+private:
+    result<std::string> put(const std::string &key, const std::string &value,
+                            const std::string &conditionName, const std::string &condition,
+                            timeout limit);
+
+    endpoint m_platform;
+};
+
+/** Reads a page such as /status from an instance. Fails with Unavailable or NotFound. */
+result<std::string> readHttpPage(const endpoint &server, const std::string &path,
+                                 std::chrono::milliseconds limit);
+
+} // namespace ebonyway
--- a/packages/version/note_effect.cpp
+++ b/packages/version/note_effect.cpp
@@ -1,11 +1,11 @@
 #include "version/note_effect.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <map>
 #include <optional>
 
 #include "version/duration_text.h"
+#include "version/number_text.h"
 #include "version/route_plan.h"
 
 namespace ebonyway {
@@ -23,13 +23,6 @@
     return what + " changes from " + before + " to " + after;
 }
 
-std::string percentText(double ratio)
-{
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%g%%", ratio * 100.0);
-    return text.data();
-}
-
 std::string addressList(const std::vector<ip_address> &addresses)
 {
     std::string list;
