--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -1,5 +1,6 @@
 #include "process/edge/http_platform_store.h"
 
+#include <memory>
 #include <optional>
 
 #include <httplib.h>
