--- a/packages/standins/tcp_connection.h
+++ b/packages/standins/tcp_connection.h
@@ -119,7 +119,7 @@
     duration m_timeout;
     time_point m_retransmitAt = time_point::max();
     time_point m_lastProgress;
-    time_point m_timeWaitEnd = time_point::max();
+    time_point m_closeBy = time_point::max(); ///< End of TIME-WAIT or of the wait for a FIN.
     std::uint64_t m_retransmissions = 0;
 };
 
