--- a/packages/standins/main_caller.cpp
+++ b/packages/standins/main_caller.cpp
@@ -50,7 +50,11 @@
         m_nextReport = m_started + m_options.reportInterval;
         m_loop.setStopOnSignal(false); // Open flows still get their answers.
         m_loop.run([this](time_point now) { return wake(now); });
-        printEvent("summary", callerSummary(m_callers));
+        Json::Value summary = callerSummary(m_callers);
+        printEvent("summary", summary);
+        summary.removeMember("services");
+        summary.removeMember("spread");
+        printEvent("totals", summary);
         const flow_counters total = m_callers.total();
         return total.broken() == 0 && total.misdelivered == 0;
     }
