Hand homes over, hold copies at backups and survive partitions

Cause: joins, planned stops, crashes, frozen instances and partitions moved homes without their flows, and lost messages delayed marks.

Change: a slot moves only by an explicit grant of its holder, and only if both sides agree on the new home. After a standstill an instance routes nothing by its own knowledge until every member has answered; after a partition only the slots of formerly cut-off homes wait. A home that opens late sends no first packets to a draining server. Lost frames are repeated as soon as an acknowledgement shows the gap. UDP flows are tracked from the announcement on, so that none falls between the report and the diversion. The admission policy learns of every admitted flow that stops being tracked.

Ruled out: relaying by a memory of granted slots (a partial view of the members could pull a slot away and back), and a first-packet copy in the partition signal for any later repetition (with a shared fabric some later SYN copy arrives on this side anyway; only the copy after 1 s separates the two cases).

--- a/packages/connection/engine_message.cpp
+++ b/packages/connection/engine_message.cpp
@@ -132,7 +132,7 @@
 }
 
 template <class Archive>
-void transfer(Archive &archive, sync_request &record)
+void transfer(Archive &archive, mark_sync_request &record)
 {
     archive(record.nonce);
 }
--- a/packages/connection/engine_message.h
+++ b/packages/connection/engine_message.h
@@ -84,7 +84,7 @@
 };
 
 /** An instance that joins, woke up or was cut off asks for all marks. */
-struct sync_request
+struct mark_sync_request
 {
     std::uint32_t nonce = 0;
 };
@@ -96,7 +96,7 @@
     note_number base;
 };
 
-/** Ends the answer to a sync_request; the marks were sent before. */
+/** Ends the answer to a mark_sync_request; the marks were sent before. */
 struct sync_end
 {
     std::uint32_t nonce = 0;
@@ -111,9 +111,10 @@
     bool operator==(const stream_end &) const = default;
 };
 
-using engine_record = std::variant<mark_record, state_record, flow_record, flow_end_record,
-                                   handover_request, handover_none, udp_request, udp_report,
-                                   udp_report_end, sync_request, sync_base, sync_end, stream_end>;
+using engine_record =
+        std::variant<mark_record, state_record, flow_record, flow_end_record, handover_request,
+                     handover_none, udp_request, udp_report, udp_report_end, mark_sync_request,
+                     sync_base, sync_end, stream_end>;
 
 /** Header of each datagram between engines. */
 struct frame_header
--- a/packages/connection/flow_engine.cpp
+++ b/packages/connection/flow_engine.cpp
@@ -16,6 +16,11 @@
 constexpr std::uint8_t HopLimit = 2;
 /** A repeated SYN sooner than this is a duplicate made by the network. */
 constexpr duration DuplicateTime = 500ms;
+/**
+ * Longest time after adopting a drain for which a slot that still waits sends new flows to the
+ * leaving server. With 0.5 s for the adoption it keeps the bound of 3 s.
+ */
+constexpr duration DrainPatience = 2400ms;
 /** How long a slot's new flows stay tracked after its target last refused one. */
 constexpr duration DeviationHold = 3s;
 
@@ -57,7 +62,7 @@
 
 route_decision flow_engine::routeSlow(const routed_packet &routed)
 {
-    if (m_clock.wouldJump(routed.now)) {
+    if (m_clock.hasJumped(routed.now)) {
         beginSync(routed.now);
     }
     if (!m_synchronised) {
@@ -67,6 +72,11 @@
     if (home != nullptr && home->isActive()) {
         return routeAtHome(*home, routed);
     }
+    if (awaitsMarks(routed.slot)) {
+        const std::optional<instance_id> owner = m_assignment.owners(routed.slot).home;
+        return owner && *owner != m_options.self ? relayTo(*owner, routed)
+                                                 : drop_action{drop_reason::OutcomeUnknown};
+    }
     return isSettled(routed.slot) ? routeSettled(routed) : routeUnsettled(routed);
 }
 
@@ -123,9 +133,6 @@
     if (routed.packet.kind == packet_kind::Udp) {
         m_seenUdp.record(routed.service, routed.hash, routed.now);
     }
-    if (const auto granted = m_granted.find(routed.slot); granted != m_granted.end()) {
-        return relayTo(granted->second.first, routed);
-    }
     const slot_owners owners = m_assignment.owners(routed.slot);
     if (!owners.home) {
         return drop_action{drop_reason::NoServerAvailable};
@@ -155,25 +162,10 @@
         return routed.origin.hops == 0 ? relayTo(*acting, routed)
                                        : drop_action{drop_reason::PartitionSuspected};
     }
-    const bool first = routed.packet.kind == packet_kind::TcpSyn;
-    if (first) {
+    if (routed.packet.kind == packet_kind::TcpSyn) {
         m_partitionSignal.onHeld(routed.hash, routed.now);
     }
-    if (!m_hasOwnCallers) {
-        return drop_action{drop_reason::PartitionSuspected};
-    }
-    const std::optional<slot_state> state = initialState(routed.slot);
-    if (!state) {
-        return drop_action{drop_reason::PartitionSuspected};
-    }
-    // All callers of this side reach only this side, so that no other home sees their flows.
-    slot_state acted = *state;
-    acted.phase = acted.defaultServer == acted.target ? slot_phase::Flipped : slot_phase::Diverting;
-    slot_home &home = m_store.open(acted, home_role::Active, routed.now);
-    home.udpRequested = true;
-    setMark(home, {acted.mark.note, acted.mark.epoch | 1U});
-    refreshSlot(routed.slot);
-    return routeAtHome(home, routed);
+    return drop_action{drop_reason::PartitionSuspected};
 }
 
 route_decision flow_engine::routeAtHome(slot_home &home, const routed_packet &routed)
@@ -257,11 +249,15 @@
         return drop_action{drop_reason::PartitionSuspected};
     }
     const bool ends = kind == packet_kind::TcpRst || kind == packet_kind::IcmpError;
-    if (home.state().phase != slot_phase::Diverting || ends) {
+    const bool flowsDiffer =
+            home.state().phase == slot_phase::Diverting
+            || (kind == packet_kind::Udp && home.state().phase == slot_phase::Announced);
+    if (!flowsDiffer || ends) {
         return forward_action{server, false};
     }
     tracked_flow flow{routed.hash, toFlowTime(routed.now), routed.slot, server, 0};
     if (kind == packet_kind::Udp) {
+        // The flow may have started after the other instances sent their reports.
         m_store.trackOnProbation(home, flow);
     } else if (m_store.trackEstablished(home, flow) == nullptr) {
         // The default may not flip while a live old flow is untracked.
@@ -278,7 +274,8 @@
     }
     if (home.state().phase == slot_phase::Announced) {
         const backend_server_id server = home.state().defaultServer;
-        if (isGivenUp(server, routed.now) || !isReachable(server)) {
+        if (isGivenUp(server, routed.now) || !isReachable(server)
+            || isDrainOverdue(server, routed.now)) {
             return drop_action{drop_reason::OutcomeUnknown};
         }
         // Tracked so that a retransmission follows its first copy after the diversion.
@@ -437,9 +434,7 @@
                                 : answer_decision{drop_crossed_action{}};
     }
     std::optional<instance_id> home = m_assignment.owners(routed.slot).home;
-    if (const auto granted = m_granted.find(routed.slot); granted != m_granted.end()) {
-        home = granted->second.first;
-    } else if (const auto awaited = m_awaited.find(routed.slot); awaited != m_awaited.end()) {
+    if (const auto awaited = m_awaited.find(routed.slot); awaited != m_awaited.end()) {
         home = awaited->second.former;
     }
     if (home && *home != m_options.self && routed.origin.hops < HopLimit) {
@@ -468,6 +463,16 @@
            && m_admission.health(server, now) == backend_health::Dead;
 }
 
+bool flow_engine::isDrainOverdue(backend_server_id server, time_point now) const
+{
+    const auto since = m_drainingSince.find(server);
+    if (since == m_drainingSince.end()) {
+        return false;
+    }
+    // An instance that has just started, woken or been cut off does not know when the drain began.
+    return m_synchronisedAt >= since->second || now - since->second > DrainPatience;
+}
+
 bool flow_engine::isDomainCutOff(failure_domain_id domain) const
 {
     const auto &cut = m_cluster.suspectedPartitions;
@@ -496,6 +501,11 @@
         return;
     }
     m_copier.addEnd(flow);
+}
+
+void flow_engine::onFlowForgotten(const tracked_flow &flow)
+{
+    // Flows that go on untracked are reported too: their real end would never be seen here.
     if (flow.has(tracked_flow::Admitted)) {
         m_admission.onFlowEnded(flow.backendServer, m_now);
     }
--- a/packages/connection/flow_engine.h
+++ b/packages/connection/flow_engine.h
@@ -76,6 +76,10 @@
     flow_engine &operator=(const flow_engine &) = delete;
 
     void adoptPlan(std::shared_ptr<const route_plan> plan, time_point now) override;
+    /**
+     * Replaces the view of the deployment. When this instance itself goes back to Joining, call
+     * this before the new state is announced, because peers stream to a joining instance at once.
+     */
     void updateCluster(const cluster_view &cluster, time_point now) override;
     route_decision route(const packet_view &packet, const packet_origin &origin,
                          time_point now) override;
@@ -159,11 +163,14 @@
     // Backend servers.
     bool isReachable(backend_server_id server) const;
     bool isGivenUp(backend_server_id server, time_point now) const;
+    bool isDrainOverdue(backend_server_id server, time_point now) const;
     bool isDomainCutOff(failure_domain_id domain) const;
     void refreshUsableServers();
 
     // Slots.
     bool isSettled(slot_id slot) const;
+    /** Returns whether the other side of an ended partition may have changed the slot. */
+    bool awaitsMarks(slot_id slot) const;
     void refreshSlot(slot_id slot);
     void refreshAllSlots();
     std::optional<slot_state> initialState(slot_id slot) const;
@@ -186,11 +193,13 @@
     void trackReportedFlow(flow_hash hash, service_id service, time_point now);
     void checkDeviations(time_point now);
     void openDeviation(slot_id slot, time_point now);
+    void openActingHomes(time_point now);
     void maintainCopies(time_point now);
+    void dropStaleCopies(time_point now);
     void streamToJoiners(time_point now);
     void prepareProspects(std::vector<home_candidate> candidates, instance_id joiner);
     void moveHomes(time_point now);
-    void grantSlots(const std::unordered_map<slot_id, instance_id> &receivers, time_point now);
+    void grantSlots(const std::unordered_map<slot_id, instance_id> &receivers);
     void askFormerHomes(time_point now);
     void expireFlows(time_point now);
     void updateHomeShares(time_point now);
@@ -201,6 +210,7 @@
     bool isAlive(instance_id id) const;
     bool isJoinedMember() const;
     void refreshAssignment(time_point now);
+    void onDomainsHealed(const std::vector<failure_domain_id> &cutBefore, time_point now);
     void onAssignmentChanged(time_point now);
     void refreshFreshness();
     void updateIsolation(time_point now);
@@ -222,7 +232,7 @@
     void onRecord(instance_id from, const udp_request &record, time_point now);
     void onRecord(instance_id from, const udp_report &record, time_point now);
     void onRecord(instance_id from, const udp_report_end &record, time_point now);
-    void onRecord(instance_id from, const sync_request &record, time_point now);
+    void onRecord(instance_id from, const mark_sync_request &record, time_point now);
     void onRecord(instance_id from, const sync_base &record, time_point now);
     void onRecord(instance_id from, const sync_end &record, time_point now);
     void onRecord(instance_id from, const stream_end &record, time_point now);
@@ -230,6 +240,7 @@
     bool hasSlot(slot_id slot) const;
 
     void onFlowEnd(const tracked_flow &flow) override;
+    void onFlowForgotten(const tracked_flow &flow) override;
 
     flow_engine_options m_options;
     admission_policy &m_admission;
@@ -243,6 +254,7 @@
     home_assignment m_formerAssignment;
     time_point m_assignedAt{};
     std::set<instance_id> m_left; ///< Members that announced that they leave.
+    std::set<instance_id> m_cutOff; ///< Members whose marks are unknown since a partition.
     std::set<instance_id> m_newcomers; ///< Asked for marks but are not in the view yet.
 
     slot_marks m_marks;
@@ -257,13 +269,14 @@
     sync_round m_sync;
 
     bool m_synchronised = false;
+    bool m_surrendered = false; ///< Declared dead by the others and not a member again yet.
+    time_point m_synchronisedAt{};
     bool m_isolated = false; ///< Other members exist, but none of them has been heard lately.
     bool m_hasOwnCallers = false; ///< During a partition: see partition_signal.
     bool m_sharesDirty = true;
     std::set<slot_id> m_unsettled; ///< Slots of the plan that are not settled here.
     std::unordered_map<slot_id, awaited_slot> m_awaited;
     std::unordered_map<slot_id, std::vector<mark_delivery>> m_markDeliveries;
-    std::unordered_map<slot_id, std::pair<instance_id, time_point>> m_granted;
     std::set<std::pair<slot_id, instance_id>> m_declined; ///< Former homes without state.
     std::unordered_set<slot_id> m_dropLater;
     std::unordered_set<slot_id> m_takenOver; ///< Counts and times are refreshed in the next tick.
@@ -275,7 +288,9 @@
     std::set<instance_id> m_streamedFrom; ///< Homes that have sent us what we need.
     std::map<backend_server_id, time_point> m_drainingSince;
     time_point m_copiedAt{};
+    time_point m_copiesCheckedAt{};
     time_point m_deviationCheckedAt{};
+    time_point m_actingCheckedAt{};
     time_point m_leavingSince{};
 };
 
--- a/packages/connection/flow_engine_members.cpp
+++ b/packages/connection/flow_engine_members.cpp
@@ -65,14 +65,10 @@
         surrenderHomes();
         beginSync(now);
     }
-    const bool healed = std::any_of(cutBefore.begin(), cutBefore.end(),
-                                    [this](auto domain) { return !isDomainCutOff(domain); });
-    if (healed) {
-        // The other side may have changed marks; they are fetched before anything is routed.
-        m_partitionSignal.clear();
-        m_hasOwnCallers = false;
-        beginSync(now);
+    if (isJoinedMember()) {
+        m_surrendered = false;
     }
+    onDomainsHealed(cutBefore, now);
     if (!m_synchronised && !m_sync.isRunning()) {
         beginSync(now);
     }
@@ -81,6 +77,31 @@
     refreshFreshness();
 }
 
+void flow_engine::onDomainsHealed(const std::vector<failure_domain_id> &cutBefore, time_point now)
+{
+    bool healed = false;
+    for (const member &other : m_cluster.members) {
+        const bool wasCut = std::find(cutBefore.begin(), cutBefore.end(), other.failureDomain)
+                            != cutBefore.end();
+        if (!wasCut || isDomainCutOff(other.failureDomain) || other.state == member_state::Dead) {
+            continue;
+        }
+        // The other side may have changed marks; they are fetched before its slots are routed.
+        m_cutOff.insert(other.id);
+        healed = true;
+    }
+    if (!healed) {
+        return;
+    }
+    m_partitionSignal.clear();
+    m_hasOwnCallers = false;
+    if (m_synchronised) {
+        m_sync.begin(now);
+        advanceSync(now);
+    }
+    refreshAllSlots();
+}
+
 void flow_engine::refreshAssignment(time_point now)
 {
     std::vector<home_candidate> candidates;
@@ -105,15 +126,6 @@
 void flow_engine::onAssignmentChanged(time_point now)
 {
     m_sharesDirty = true;
-    for (auto &[slot, home] : m_store.homes()) {
-        const slot_owners owners = m_assignment.owners(slot);
-        if (home.isActive()) {
-            continue;
-        }
-        if (owners.home != m_options.self && owners.backup != m_options.self && isJoinedMember()) {
-            m_dropLater.insert(slot);
-        }
-    }
     if (m_plan) {
         for (const slot_id slot : m_unsettled) {
             const slot_home *home = m_store.find(slot);
@@ -158,8 +170,12 @@
         others = true;
         heard |= isFresh(other, now, m_options.freshnessLimit);
     }
-    m_hasOwnCallers =
-            !m_cluster.suspectedPartitions.empty() && m_partitionSignal.hasOwnCallers(now);
+    if (m_cluster.suspectedPartitions.empty()) {
+        m_hasOwnCallers = false;
+    } else if (!m_hasOwnCallers) {
+        // Once this side serves, it holds nothing back; the answer stays until the partition ends.
+        m_hasOwnCallers = m_partitionSignal.hasOwnCallers(now);
+    }
     m_isolated = others && !heard && !m_hasOwnCallers;
 }
 
@@ -175,9 +191,13 @@
 
 void flow_engine::surrenderHomes()
 {
+    if (m_surrendered) {
+        // What arrived since then was streamed for the next life of this instance.
+        return;
+    }
+    m_surrendered = true;
     m_store.clear();
     m_awaited.clear();
-    m_granted.clear();
     m_markDeliveries.clear();
     m_streamedFrom.clear();
     m_dropLater.clear();
@@ -199,7 +219,7 @@
     for (const member &other : m_cluster.members) {
         if (other.id != m_options.self && other.state != member_state::Dead
             && m_sync.needsRequest(other.id)) {
-            m_exchange.send(other.id, sync_request{m_sync.nonce()});
+            m_exchange.send(other.id, mark_sync_request{m_sync.nonce()});
         }
     }
     if (m_sync.isComplete(m_cluster, m_options.freshnessLimit, now)) {
@@ -207,14 +227,18 @@
     }
 }
 
-void flow_engine::finishSync(time_point)
+void flow_engine::finishSync(time_point now)
 {
     const note_number note = m_plan ? m_plan->currentIntent().number : note_number{};
     if (note < m_sync.highestNote()) {
         return;
     }
     m_sync.finish();
+    if (!m_synchronised) {
+        m_synchronisedAt = now;
+    }
     m_synchronised = true;
+    m_cutOff.clear();
     if (!m_sync.foundMarks() && m_plan) {
         // The whole deployment has just started: no instance knows of a flow.
         for (const service &current : m_plan->currentIntent().services) {
--- a/packages/connection/flow_engine_records.cpp
+++ b/packages/connection/flow_engine_records.cpp
@@ -8,7 +8,7 @@
 void flow_engine::onMessage(instance_id from, std::span<const std::byte> bytes, time_point now)
 {
     m_now = now;
-    if (m_clock.wouldJump(now)) {
+    if (m_clock.hasJumped(now)) {
         beginSync(now);
     }
     for (const engine_record &record : m_exchange.receive(from, bytes, now)) {
@@ -97,21 +97,18 @@
     }
 }
 
-void flow_engine::onRecord(instance_id from, const handover_request &record, time_point now)
+void flow_engine::onRecord(instance_id from, const handover_request &record, time_point)
 {
-    const slot_home *home = m_store.find(record.slot);
-    if (home != nullptr && home->isActive()) {
-        if (m_synchronised) {
-            grantSlots({{record.slot, from}}, now);
-        }
+    // The asker repeats the request until this instance agrees that the slot is to move.
+    const bool agrees = m_synchronised && m_assignment.owners(record.slot).home == from;
+    if (!agrees || m_awaited.contains(record.slot)) {
         return;
     }
-    if (m_awaited.contains(record.slot) || !m_synchronised) {
-        // The asker repeats the request until this instance knows.
+    const slot_home *home = m_store.find(record.slot);
+    if (home != nullptr && home->isActive()) {
+        grantSlots({{record.slot, from}});
         return;
     }
-    m_granted[record.slot] = {from, now};
-    refreshSlot(record.slot);
     m_exchange.send(from, handover_none{record.slot});
 }
 
@@ -148,7 +145,7 @@
     }
 }
 
-void flow_engine::onRecord(instance_id from, const sync_request &record, time_point now)
+void flow_engine::onRecord(instance_id from, const mark_sync_request &record, time_point)
 {
     const member *asker = findMember(from);
     if (asker == nullptr) {
@@ -162,7 +159,7 @@
                 held.emplace(slot, from);
             }
         }
-        grantSlots(held, now);
+        grantSlots(held);
     }
     for (const auto &[service, base] : m_marks.bases()) {
         m_exchange.send(from, sync_base{service, base});
@@ -190,6 +187,9 @@
         // The others have declared this instance dead: backups own its slots now.
         surrenderHomes();
     }
+    if (m_sync.nonce() == record.nonce && m_cutOff.erase(from) > 0) {
+        refreshAllSlots();
+    }
     advanceSync(now);
 }
 
--- a/packages/connection/flow_engine_slots.cpp
+++ b/packages/connection/flow_engine_slots.cpp
@@ -15,7 +15,9 @@
 constexpr duration DeviationHold = 3s;
 constexpr duration DeviationCheckInterval = 500ms;
 constexpr duration AskInterval = 300ms;
-constexpr duration GrantMemory = 10s;
+constexpr duration ActingCheckInterval = 5s;
+/** Copies that arrive after their slot settled or moved are dropped within this time. */
+constexpr duration StaleCopyInterval = 5s;
 /** A flow whose caller has sent FIN ends after this silence, like a half-closed connection. */
 constexpr duration ClosingTime = 120s;
 /** First packets stay tracked over the first four SYN retransmissions. */
@@ -110,6 +112,15 @@
     return m_plan->slotTable(slot.service)->changedAt[slot.index] <= mark->note;
 }
 
+bool flow_engine::awaitsMarks(slot_id slot) const
+{
+    if (m_cutOff.empty()) {
+        return false;
+    }
+    const std::optional<instance_id> home = m_assignment.owners(slot).home;
+    return !home || *home == m_options.self || m_cutOff.contains(*home);
+}
+
 void flow_engine::refreshSlot(slot_id slot)
 {
     if (!hasSlot(slot)) {
@@ -117,17 +128,17 @@
     }
     const slot_home *home = m_store.find(slot);
     const bool active = home != nullptr && home->isActive();
-    const bool settled = isSettled(slot);
-    if (settled) {
+    if (isSettled(slot)) {
         m_unsettled.erase(slot);
     } else {
         m_unsettled.insert(slot);
     }
     const std::optional<instance_id> owner = m_assignment.owners(slot).home;
+    const bool settled = isSettled(slot) && !awaitsMarks(slot);
     settled_route::slot_entry entry;
     entry.target = m_plan->slotTable(slot.service)->targets[slot.index];
     entry.home = owner ? memberIndex(*owner) : settled_route::NoHome;
-    const bool relays = owner && *owner != m_options.self && !m_granted.contains(slot);
+    const bool relays = owner && *owner != m_options.self;
     if (m_synchronised && !active && settled) {
         entry.flags = settled_route::slot_entry::Settled;
     } else if (m_synchronised && !active && relays) {
@@ -205,7 +216,6 @@
     const slot_id slot = home.state().slot;
     home.activate(now);
     m_awaited.erase(slot);
-    m_granted.erase(slot);
     if (const std::optional<slot_mark> mark = m_marks.find(slot);
         mark && *mark > home.state().mark) {
         home.setMark(*mark);
@@ -303,11 +313,11 @@
     if (!m_plan || !m_synchronised) {
         return;
     }
-    m_store.drop(m_dropLater);
-    m_dropLater.clear();
+    dropStaleCopies(now);
     askFormerHomes(now);
     openDueHomes(now);
     checkDeviations(now);
+    openActingHomes(now);
     advanceHomes(now);
     sendUdpRequests(now);
     expireFlows(now);
@@ -327,7 +337,7 @@
     for (const slot_id slot : m_unsettled) {
         const slot_home *home = m_store.find(slot);
         const bool active = home != nullptr && home->isActive();
-        if (!active && !m_awaited.contains(slot)
+        if (!active && m_cutOff.empty() && !m_awaited.contains(slot)
             && m_assignment.owners(slot).home == m_options.self) {
             due.push_back(slot);
         }
@@ -372,10 +382,6 @@
         }
         ++entry;
     }
-    std::erase_if(m_granted, [&](const auto &granted) {
-        const bool old = now - granted.second.second > GrantMemory;
-        return old || !isAlive(granted.second.first);
-    });
 }
 
 void flow_engine::advanceHomes(time_point now)
@@ -563,6 +569,26 @@
     refreshSlot(slot);
 }
 
+void flow_engine::openActingHomes(time_point now)
+{
+    if (!m_hasOwnCallers || now - m_actingCheckedAt < ActingCheckInterval) {
+        return;
+    }
+    m_actingCheckedAt = now;
+    for (const service &known : m_plan->currentIntent().services) {
+        const slot_table *table = m_plan->slotTable(known.id);
+        for (std::size_t index = 0; table != nullptr && index < table->targets.size(); ++index) {
+            const slot_id slot{known.id, static_cast<std::uint16_t>(index)};
+            const std::optional<instance_id> home = m_assignment.owners(slot).home;
+            const std::optional<instance_id> acting = actingHome(slot);
+            const bool needed = home != acting || !isReachable(table->targets[index]);
+            if (needed && acting == m_options.self) {
+                openDeviation(slot, now);
+            }
+        }
+    }
+}
+
 void flow_engine::maintainCopies(time_point now)
 {
     std::set<instance_id> lost;
@@ -603,6 +629,22 @@
     m_now = now;
 }
 
+void flow_engine::dropStaleCopies(time_point now)
+{
+    if (now - m_copiesCheckedAt >= StaleCopyInterval && isJoinedMember()) {
+        m_copiesCheckedAt = now;
+        for (const auto &[slot, home] : m_store.homes()) {
+            const slot_owners owners = m_assignment.owners(slot);
+            const bool owned = owners.home == m_options.self || owners.backup == m_options.self;
+            if (!home.isActive() && (!owned || (hasSlot(slot) && isSettled(slot)))) {
+                m_dropLater.insert(slot);
+            }
+        }
+    }
+    m_store.drop(m_dropLater);
+    m_dropLater.clear();
+}
+
 void flow_engine::streamToJoiners(time_point now)
 {
     for (const member &joiner : m_cluster.members) {
@@ -656,11 +698,10 @@
             receivers.emplace(slot, *owner);
         }
     }
-    grantSlots(receivers, now);
+    grantSlots(receivers);
 }
 
-void flow_engine::grantSlots(const std::unordered_map<slot_id, instance_id> &receivers,
-                             time_point now)
+void flow_engine::grantSlots(const std::unordered_map<slot_id, instance_id> &receivers)
 {
     if (receivers.empty()) {
         return;
@@ -678,7 +719,6 @@
     for (const auto &[slot, receiver] : receivers) {
         slot_home &home = *m_store.find(slot);
         m_exchange.send(receiver, state_record{state_purpose::Grant, home.state()});
-        m_granted[slot] = {receiver, now};
         m_markDeliveries.erase(slot);
         if (m_assignment.owners(slot).backup == m_options.self) {
             home.becomeBackup();
@@ -704,8 +744,10 @@
             return false;
         }
         // Flow times are rounded down to 0.1 s.
+        const service *known = findService(m_plan->currentIntent(), flow.slot.service);
+        const bool tcp = known != nullptr && known->protocol == transport_protocol::Tcp;
         duration limit = idleTimeoutOf(*m_plan, flow.slot.service) + 1s;
-        if (flow.has(tracked_flow::Probation)) {
+        if (tcp && flow.has(tracked_flow::Probation)) {
             limit = std::min(limit, duration{ProbationTime});
         } else if (flow.has(tracked_flow::Closing)) {
             limit = std::min(limit, duration{ClosingTime});
--- a/packages/connection/freshness.cpp
+++ b/packages/connection/freshness.cpp
@@ -11,14 +11,9 @@
     : m_limit(limit)
 { }
 
-bool clock_watch::wouldJump(time_point now) const
-{
-    return m_last && now - *m_last > m_limit;
-}
-
 bool clock_watch::hasJumped(time_point now)
 {
-    const bool jumped = wouldJump(now);
+    const bool jumped = m_last && now - *m_last > m_limit;
     m_last = now;
     return jumped;
 }
--- a/packages/connection/freshness.h
+++ b/packages/connection/freshness.h
@@ -10,7 +10,7 @@
 bool isFresh(const member &other, time_point now, duration limit);
 
 /**
- * Detects that this instance itself stood still: a step between two ticks that is longer than the
+ * Detects that this instance itself stood still: a step between two events that is longer than the
  * freshness limit. Heartbeats that queued up meanwhile would otherwise make old knowledge look new.
  */
 class clock_watch
@@ -18,9 +18,7 @@
 public:
     explicit clock_watch(duration limit);
 
-    /** Returns whether the clock has jumped since the last tick, without noting the time. */
-    bool wouldJump(time_point now) const;
-    /** Notes the time of a tick and returns whether the clock jumped since the last one. */
+    /** Notes the time of an event and returns whether the clock jumped since the last one. */
     bool hasJumped(time_point now);
 
 private:
--- a/packages/connection/home_store.cpp
+++ b/packages/connection/home_store.cpp
@@ -71,6 +71,7 @@
     if (evicted.has(tracked_flow::Used)) {
         count(evicted, -1);
         m_listener.onFlowEnd(evicted);
+        m_listener.onFlowForgotten(evicted);
     }
     if (added != nullptr) {
         count(*added, 1);
@@ -86,6 +87,7 @@
 
 void home_store::forget(tracked_flow &flow)
 {
+    m_listener.onFlowForgotten(flow);
     count(flow, -1);
     m_flows.erase(flow);
 }
--- a/packages/connection/home_store.h
+++ b/packages/connection/home_store.h
@@ -18,6 +18,8 @@
 
     /** Called before a flow leaves the store because it ended or was evicted. */
     virtual void onFlowEnd(const tracked_flow &flow) = 0;
+    /** Called before a flow leaves the store for any reason, after onFlowEnd if it ended. */
+    virtual void onFlowForgotten(const tracked_flow &flow) = 0;
 };
 
 /**
@@ -34,7 +36,7 @@
     const slot_home *find(slot_id slot) const;
     /** Opens a slot that is not held yet. */
     slot_home &open(const slot_state &state, home_role role, time_point now);
-    /** Drops the slots and their flows without reporting ends. */
+    /** Drops the slots and forgets their flows. */
     void drop(const std::unordered_set<slot_id> &slots);
     void clear();
 
@@ -50,7 +52,7 @@
     tracked_flow *trackOnProbation(slot_home &home, tracked_flow flow);
     /** Ends a flow and reports it. */
     void end(tracked_flow &flow);
-    /** Stops tracking a flow that the default covers; nothing is reported. */
+    /** Stops tracking a flow that goes on, because the default or another instance covers it. */
     void forget(tracked_flow &flow);
 
     /** Recounts the flows that differ from the target after the target changed. */
--- a/packages/connection/partition_signal.cpp
+++ b/packages/connection/partition_signal.cpp
@@ -24,7 +24,9 @@
     expire(now);
     const auto found = m_held.find(hash);
     if (found != m_held.end()) {
-        found->second.repeated |= now - found->second.firstCopy >= DuplicateTime;
+        // Only the copy after 1 s counts: with a shared fabric some later copy arrives here anyway.
+        const duration gap = now - found->second.firstCopy;
+        found->second.repeated |= gap >= DuplicateTime && gap < RepeatTime;
         return;
     }
     if (m_held.size() >= MaximumFlows) {
--- a/packages/connection/peer_channel.cpp
+++ b/packages/connection/peer_channel.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t WaitingLimit = 16384;
 /** Much longer than the round trip between failure domains and the acknowledgement delay. */
 constexpr duration ResendAfter = 700ms;
+/** An acknowledgement that leaves out a frame older than this means that the frame was lost. */
+constexpr duration RoundTrip = 50ms;
 /** Acknowledgements wait for frames that go the same way. */
 constexpr duration AcknowledgeAfter = 250ms;
 constexpr std::size_t AcknowledgeCount = 8;
@@ -69,7 +71,8 @@
     closeFrame();
     std::vector<std::vector<std::byte>> frames;
     const bool resend = !m_frames.empty() && m_frames.front().sent
-                        && now - m_frames.front().sentAt >= ResendAfter;
+                        && (m_resendNow || now - m_frames.front().sentAt >= ResendAfter);
+    m_resendNow = false;
     const std::size_t count = std::min(Window, m_frames.size());
     for (std::size_t index = 0; index < count; ++index) {
         waiting_frame &frame = m_frames[index];
@@ -124,28 +127,32 @@
         return false;
     }
     if (header.peerSession == m_session) {
-        onAcknowledged(header.acknowledged);
+        onAcknowledged(header.acknowledged, now);
     }
     if (header.sequence == 0) {
         return false;
     }
     ++m_unacknowledgedInput;
     if (header.sequence != m_received + 1) {
+        // A frame is missing or came twice; the answer makes the peer send again at once.
+        m_unacknowledgedInput += AcknowledgeCount;
         return false;
     }
     m_received = header.sequence;
     return true;
 }
 
-void peer_channel::onAcknowledged(std::uint32_t sequence)
+void peer_channel::onAcknowledged(std::uint32_t sequence, time_point now)
 {
-    if (sequence >= m_nextSequence || sequence <= m_peerAcknowledged) {
+    if (sequence >= m_nextSequence || sequence < m_peerAcknowledged) {
         return;
     }
     m_peerAcknowledged = sequence;
     while (!m_frames.empty() && m_frames.front().sequence <= sequence) {
         m_frames.pop_front();
     }
+    m_resendNow = !m_frames.empty() && m_frames.front().sent
+                  && now - m_frames.front().sentAt >= RoundTrip;
 }
 
 } // namespace ebonyway
--- a/packages/connection/peer_channel.h
+++ b/packages/connection/peer_channel.h
@@ -48,7 +48,7 @@
 
     void closeFrame();
     void reset();
-    void onAcknowledged(std::uint32_t sequence);
+    void onAcknowledged(std::uint32_t sequence, time_point now);
     bool acceptSession(const frame_header &header);
     std::vector<std::byte> encode(std::uint32_t sequence, const std::string &records);
 
@@ -58,6 +58,7 @@
     std::uint32_t m_peerAcknowledged = 0;
     std::uint32_t m_received = 0;
     std::uint32_t m_resetCount = 0;
+    bool m_resendNow = false;
     std::string m_open;
     std::deque<waiting_frame> m_frames;
     std::size_t m_unacknowledgedInput = 0;
--- a/tests/connection/engine_driver.h
+++ b/tests/connection/engine_driver.h
@@ -41,12 +41,14 @@
     int started = 0;
     int finished = 0;
     int broken = 0; ///< Established flows of a domain in service that were reset.
+    int tornByCrash = 0; ///< As broken, but started within a copy interval before a crash.
     int stalled = 0; ///< Established flows without any answer for about 100 s.
     int unanswered = 0; ///< Flows whose SYN was never answered.
     int givenUp = 0; ///< Flows of a domain out of service, ended by RST or ICMP.
     int refused = 0; ///< New flows refused for lack of room.
     int wrongService = 0;
     int secondServer = 0; ///< Packets of a flow that reached another backend server than its first.
+    int secondSyn = 0; ///< SYNs that reached another backend server than an earlier copy.
     int lateNewFlows = 0; ///< New flows on a leaving backend server after 3 s.
     int latePackets = 0; ///< Packets into a domain out of service after 3 s.
     int refusedButSeen = 0;
@@ -134,6 +136,8 @@
         std::unique_ptr<routing_strategy> strategy;
         flow_engine *engine = nullptr;
         std::map<std::size_t, peer_knowledge> peers;
+        /** When a domain last looked cut off; its members get time to be heard after that. */
+        std::map<failure_domain_id, time_point> cutOffAt;
         std::vector<std::function<void()>> inbox; ///< Events of a frozen instance.
     };
 
@@ -154,6 +158,7 @@
         int acknowledged = 0;
         int requests = 0;
         duration gap{};
+        time_point startedAt{};
         bool spoofed = false;
     };
 
@@ -195,6 +200,9 @@
     void answerAt(std::size_t index, backend_server_id server, std::size_t flow, packet_kind kind,
                   int sequence, packet_origin origin);
     void atCaller(backend_server_id server, std::size_t flow, packet_kind kind, int sequence);
+    void onReset(caller_flow &flow);
+    /** The copy of a flow that started just before a crash may not have left its home. */
+    bool mayBeTorn(const caller_flow &flow) const;
     void onRefused(std::size_t flow, refusal_reason reason);
     bool isInService(backend_server_id server) const;
 
@@ -211,6 +219,7 @@
     std::shared_ptr<const route_plan> m_plan;
     std::map<failure_domain_id, time_point> m_outSince;
     std::set<failure_domain_id> m_cut;
+    std::vector<time_point> m_crashes;
     std::uint32_t m_session = 1;
     std::uint32_t m_nextPort = 0;
 };
--- a/tests/connection/flow_engine_scenario_test.cpp
+++ b/tests/connection/flow_engine_scenario_test.cpp
@@ -22,6 +22,7 @@
         CHECK(counts.stalled == 0);
         CHECK(counts.wrongService == 0);
         CHECK(counts.secondServer == 0);
+        CHECK(counts.secondSyn == 0);
         CHECK(counts.lateNewFlows == 0);
         CHECK(counts.latePackets == 0);
         CHECK(counts.refusedButSeen == 0);
@@ -130,6 +131,28 @@
     }
 }
 
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, failure domain out and back, gives up only its flows")
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        startTraffic(driver, 100s);
+        driver.run(20s);
+        driver.setInService(failure_domain_id{0}, false);
+        driver.run(15s);
+        CHECK(driver.openFlowsOn(failure_domain_id{0}) == 0);
+        CHECK(driver.counts.givenUp > 0);
+        driver.run(25s);
+        driver.setInService(failure_domain_id{0}, true);
+        driver.run(240s);
+        checkInvariants(driver);
+        checkSettled(driver);
+    }
+}
+
 TEST_CASE_FIXTURE(scenario_fixture, "flow engine, instance crashes, breaks no flow")
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
@@ -146,6 +169,50 @@
     }
 }
 
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, home crashes during a drain, backup keeps the flows")
+{
+    for (const std::uint64_t seed : {1, 2, 3, 4}) {
+        for (const duration delay : {4s, 15s, 40s}) {
+            CAPTURE(seed);
+            CAPTURE(delay.count());
+            driver_options options;
+            options.seed = seed;
+            engine_driver driver(options);
+            startTraffic(driver, 90s);
+            driver.run(20s);
+            driver.setDraining(backend_server_id{3}, true);
+            driver.run(delay);
+            driver.crash(seed);
+            driver.run(260s);
+            MESSAGE("flows lost whose copy had not left the crashed home: ",
+                    driver.counts.tornByCrash, " of ", driver.counts.started);
+            checkInvariants(driver);
+            checkSettled(driver);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(scenario_fixture, "flow engine, instance joins during a drain, breaks no flow")
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        startTraffic(driver, 90s);
+        driver.run(20s);
+        driver.setDraining(backend_server_id{3}, true);
+        driver.run(8s);
+        const std::size_t joined = driver.join(failure_domain_id{1});
+        driver.run(20s);
+        CHECK(driver.engine(joined).openHomeCount() > 0);
+        driver.run(240s);
+        checkInvariants(driver);
+        checkSettled(driver);
+    }
+}
+
 TEST_CASE_FIXTURE(scenario_fixture, "flow engine, two changes at once, breaks no flow")
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
@@ -167,6 +234,22 @@
     }
 }
 
+TEST_CASE_FIXTURE(scenario_fixture, "flow engine, UDP flows across a drain, stay on their servers")
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        driver.startFlows(30, 90s, 10, 1s, UdpService);
+        driver.run(20s);
+        driver.setDraining(backend_server_id{15}, true);
+        driver.run(240s);
+        checkInvariants(driver);
+        checkSettled(driver);
+    }
+}
+
 TEST_CASE_FIXTURE(scenario_fixture,
                   "flow engine, planned stop of an instance during a drain, breaks no flow")
 {
@@ -188,6 +271,33 @@
     }
 }
 
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, all instances replaced one after another, breaks no flow")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        startTraffic(driver, 120s);
+        driver.run(15s);
+        driver.setDraining(backend_server_id{3}, true);
+        for (std::size_t index = 0; index < 8; ++index) {
+            driver.run(6s);
+            driver.join(failure_domain_id{static_cast<std::uint16_t>(index % 3)});
+            driver.run(4s);
+            driver.stop(index);
+        }
+        driver.run(20s);
+        for (std::size_t index = 0; index < 8; ++index) {
+            CHECK_FALSE(driver.isRunning(index));
+        }
+        driver.run(240s);
+        checkInvariants(driver);
+        checkSettled(driver);
+    }
+}
+
 TEST_CASE_FIXTURE(scenario_fixture,
                   "flow engine, SYN retransmitted across the diversion, stays on one server")
 {
@@ -203,9 +313,214 @@
         driver.setDraining(backend_server_id{3}, true);
         driver.run(200s);
         CHECK(driver.counts.secondServer == 0);
+        CHECK(driver.counts.secondSyn == 0);
         CHECK(driver.counts.broken == 0);
         CHECK(driver.counts.lateNewFlows == 0);
     }
 }
 
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, notes reach instances in different order, breaks no flow")
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        startTraffic(driver, 60s);
+        driver.run(20s);
+        for (const std::size_t server : {3, 7, 3}) {
+            intent next = driver.nextIntent();
+            next.backendServers[server].weight += 70;
+            driver.accept(std::move(next), 1500ms);
+            driver.run(50ms);
+        }
+        driver.run(240s);
+        checkInvariants(driver);
+        checkSettled(driver);
+    }
+}
+
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, change during a partition, breaks no flow and settles after it")
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        // Retransmissions are up to 25.6 s apart; a shorter timeout would end waiting flows.
+        options.idleTimeout = 60s;
+        engine_driver driver(options);
+        startTraffic(driver, 60s);
+        driver.run(20s);
+        driver.cut(failure_domain_id{1}, true);
+        driver.run(8s);
+        driver.setDraining(backend_server_id{3}, true);
+        driver.run(12s);
+        driver.cut(failure_domain_id{1}, false);
+        driver.run(360s);
+        const driver_counts &counts = driver.counts;
+        MESSAGE("seed ", seed, ": of ", counts.started, " flows ", counts.finished, " finished, ",
+                counts.broken, " broken, ", counts.stalled, " stalled, ", counts.unanswered,
+                " unanswered");
+        CHECK(counts.broken == 0);
+        CHECK(counts.secondServer == 0);
+        CHECK(counts.repeatedRuns == 0);
+        CHECK(counts.lateNewFlows == 0);
+        CHECK(driver.unsettledSlots() == 0);
+        CHECK(driver.trackedFlows() == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, domain cut off with shared fabric, holds first packets back")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        driver.startFlows(60, 50s, 2, 200ms);
+        driver.run(10s);
+        driver.cut(failure_domain_id{1}, true);
+        driver.run(30s);
+        // With a shared fabric no instance may take the slots of the other side.
+        CHECK(driver.unsettledSlots() == 0);
+        driver.cut(failure_domain_id{1}, false);
+        driver.run(200s);
+        CHECK(driver.counts.broken == 0);
+        CHECK(driver.counts.secondServer == 0);
+        CHECK(driver.unsettledSlots() == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(
+        scenario_fixture,
+        "flow engine, SYN flood during a drain, keeps established flows in bounded memory")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        options.probationCapacity = 256;
+        options.establishedCapacity = 2'000;
+        engine_driver driver(options);
+        startTraffic(driver, 60s);
+        driver.run(20s);
+        driver.setDraining(backend_server_id{3}, true);
+        driver.run(5s);
+        const std::size_t memory = driver.engine(0).memoryBytes();
+        driver.flood(10'000, 20s, packet_kind::TcpSyn, TcpService);
+        driver.run(20s);
+        CHECK(driver.engine(0).memoryBytes() == memory);
+        CHECK(driver.trackedFlows() < 8 * (256 + 2'000));
+        CHECK(driver.counts.drops[drop_reason::TableFull] > 0);
+        driver.run(240s);
+        CHECK(driver.counts.broken == 0);
+        CHECK(driver.counts.stalled == 0);
+        CHECK(driver.counts.secondServer == 0);
+        CHECK(driver.unsettledSlots() == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(
+        scenario_fixture,
+        "flow engine, spoofed UDP flood during a drain, keeps established flows in bounded memory")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        options.probationCapacity = 256;
+        options.establishedCapacity = 2'000;
+        engine_driver driver(options);
+        driver.startFlows(20, 20s, 30, 1s, UdpService);
+        driver.run(20s);
+        const std::size_t memory = driver.engine(0).memoryBytes();
+        driver.flood(5'000, 30s, packet_kind::Udp, UdpService);
+        driver.run(5s);
+        driver.setDraining(backend_server_id{15}, true);
+        driver.run(25s);
+        CHECK(driver.engine(0).memoryBytes() == memory);
+        CHECK(driver.trackedFlows() < 8 * (256 + 2'000));
+        driver.run(240s);
+        CHECK(driver.counts.broken == 0);
+        CHECK(driver.counts.repeatedRuns == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, backend server at its limit, deviates and settles again")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        startTraffic(driver, 60s);
+        driver.run(10s);
+        driver.admission.limited = {backend_server_id{2}};
+        driver.admission.full = {backend_server_id{2}};
+        driver.run(20s);
+        CHECK(driver.unsettledSlots() > 0);
+        driver.admission.limited.clear();
+        driver.admission.full.clear();
+        driver.run(200s);
+        checkInvariants(driver);
+        checkSettled(driver);
+        // Guards against counts that leak when a flow ends, is evicted or is handed over.
+        for (const auto &[server, open] : driver.admission.open) {
+            CHECK(open == 0);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, no backend server has room, refuses only unseen flows")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        options.packetLoss = 0.02;
+        engine_driver driver(options);
+        driver.startFlows(60, 60s, 3, 200ms);
+        driver.run(10s);
+        for (std::uint16_t server = 0; server < 14; ++server) {
+            driver.admission.limited.insert(backend_server_id{server});
+            driver.admission.full.insert(backend_server_id{server});
+        }
+        driver.run(20s);
+        CHECK(driver.counts.refused > 100);
+        CHECK(driver.counts.refusedButSeen == 0);
+        driver.admission.limited.clear();
+        driver.admission.full.clear();
+        driver.run(200s);
+        CHECK(driver.counts.broken == 0);
+        CHECK(driver.counts.secondServer == 0);
+        CHECK(driver.counts.repeatedRuns == 0);
+        CHECK(driver.unsettledSlots() == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(scenario_fixture,
+                  "flow engine, backend server dies, its flows are given up and new ones go on")
+{
+    for (const std::uint64_t seed : {1, 2}) {
+        CAPTURE(seed);
+        driver_options options;
+        options.seed = seed;
+        engine_driver driver(options);
+        startTraffic(driver, 60s);
+        driver.run(20s);
+        driver.admission.dead = {backend_server_id{2}};
+        driver.run(20s);
+        CHECK(driver.counts.givenUp > 0);
+        driver.run(200s);
+        CHECK(driver.counts.broken == 0);
+        CHECK(driver.counts.stalled == 0);
+        CHECK(driver.counts.repeatedRuns == 0);
+    }
+}
+
 } // namespace ebonyway
