--- a/packages/connection/engine_message.h
+++ b/packages/connection/engine_message.h
@@ -129,7 +129,7 @@
 };
 
 /** Size limit of a whole frame, which leaves room for authentication in a 1,200-byte message. */
-constexpr std::size_t FrameSizeLimit = 1150;
+constexpr std::size_t FrameSizeLimit = 1100;
 
 /** Serialises one record. The result is at most FrameSizeLimit - 20 bytes long. */
 std::string encodeRecord(const engine_record &record);
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+static_assert(FrameSizeLimit <= MaxEngineMessageSize,
+              "a larger engine message would never be sent and would block its channel");
+
 constexpr std::chrono::milliseconds ControlTick{50};
 constexpr std::chrono::milliseconds PageInterval{1000};
 
@@ -160,8 +163,12 @@
 {
     m_control.post([this, messages = std::move(messages)] {
         for (const outgoing_message &message : messages) {
-            // A failed send needs no handling: the engine repeats unacknowledged messages.
-            m_core.sendEngineMessage(message.to, message.bytes);
+            const status sent = m_core.sendEngineMessage(message.to, message.bytes);
+            // The engine repeats unacknowledged messages, so a peer that is gone needs no handling.
+            if (!isOk(sent) && errorOf(sent).kind != error_kind::NotFound) {
+                log(log_level::Error, "engine_message_refused",
+                    {{"reason", describe(errorOf(sent))}});
+            }
         }
         carryOutActions();
     });
--- a/packages/process/settings_reader.cpp
+++ b/packages/process/settings_reader.cpp
@@ -41,7 +41,7 @@
     const bool inMilliseconds = text.size() > 2 && text.compare(text.size() - 2, 2, "ms") == 0;
     // "250ms" is read as "250s" and scaled, so that both units share one parser.
     const std::optional<std::chrono::seconds> parsed =
-            parseDuration(inMilliseconds ? text.substr(0, text.size() - 2) + "s" : text);
+            parseNoteDuration(inMilliseconds ? text.substr(0, text.size() - 2) + "s" : text);
     if (!parsed) {
         return error{error_kind::InvalidInput, "'" + text + "' is not a duration",
                      "Write a whole number with a unit: ms, s, m, h or d, for example \"2s\"."};
