--- a/packages/connection/capacity_admission.cpp
+++ b/packages/connection/capacity_admission.cpp
@@ -20,13 +20,18 @@
 constexpr double ConnectionWatermark = 0.9;
 
 // Part of the slots in use at which the homes take over. Below it, new flows may double between two
-// reports without reaching the limit; above it, only a home that knows its unanswered flows is quick
-// enough to stop a surge.
+// reports without reaching the limit; above it, only a home that knows its unanswered flows is
+// quick enough to stop a surge.
 constexpr double SlotWatermark = 0.5;
 
 // A service none of whose flows was answered for longer shows no answers (direct server return, or
 // one-way UDP), so that missing answers prove nothing.
-constexpr std::chrono::seconds AnswerMemory{10};
+constexpr std::chrono::minutes AnswerMemory{10};
+
+// Time for which the homes keep deciding every new flow of a service that was busy or failing. It
+// covers the greatest age of a report, so that the decision is not dropped on an old one, and the
+// cold start that may follow.
+constexpr std::chrono::seconds ControlPeriod{30};
 
 // After this many refusals in a row, bounded load is given up for the next flow: it may move flows
 // but must never be the reason to refuse one.
@@ -38,7 +43,8 @@
 // The smallest concurrency over all instances; less than one flow at a time is no progress.
 constexpr double MinimumConcurrency = 1;
 
-/** Returns the share that this instance's flows stand for; without homes they stand for themselves. */
+/** Returns the share that this instance's flows stand for; without homes they stand for themselves.
+ */
 double countingShare(double homeShare)
 {
     return homeShare > 0 ? homeShare : 1;
@@ -62,7 +68,7 @@
     }
     std::erase_if(m_servers, [&current](const auto &entry) {
         return findBackendServer(current, entry.first) == nullptr
-                || findService(current, entry.second.service) == nullptr;
+               || findService(current, entry.second.service) == nullptr;
     });
     std::erase_if(m_services, [&current](const auto &entry) {
         return findService(current, entry.first) == nullptr;
@@ -113,8 +119,8 @@
     service_state &service = m_services[server->service];
     expireOffers(*server, service, now);
     refreshLoad(service, now);
-    const bool firstChoice
-            = service.servers.empty() || service.refusalsInRow % service.servers.size() == 0;
+    const bool firstChoice =
+            service.servers.empty() || service.refusalsInRow % service.servers.size() == 0;
     server->ramp.onProposal(firstChoice, server->homeShare, now);
     if (!mayAdmit(*server, service, now)) {
         ++service.refusalsInRow;
@@ -152,7 +158,7 @@
 bool capacity_admission::nearsConnectionLimit(const server_state &server, time_point now) const
 {
     return server.load.projectedFlows(countingShare(server.homeShare), now)
-            >= ConnectionWatermark * server.connectionLimit;
+           >= ConnectionWatermark * server.connectionLimit;
 }
 
 bool capacity_admission::hasSlotRoom(server_state &server, const service_state &service,
@@ -187,11 +193,8 @@
     if (health(backendServer, now) != backend_health::Healthy) {
         return true;
     }
-    // One server's reports are mostly chance; those of the whole service tell when a surge would hurt.
-    const bool serverBusy = server->judge.busySlots() >= SlotWatermark * server->slotLimit;
-    const bool serviceBusy = service.load.busyShare >= SlotWatermark;
-    return serverBusy || serviceBusy || server->judge.isFailing(now) || nearsConnectionLimit(*server, now)
-            || isOverBound(*server, service, 0, now);
+    return now < service.controlledUntil || nearsConnectionLimit(*server, now)
+           || isOverBound(*server, service, 0, now);
 }
 
 backend_health capacity_admission::health(backend_server_id backendServer, time_point now) const
@@ -200,13 +203,14 @@
     if (server == nullptr) {
         return backend_health::Dead;
     }
-    if (isDead(*server, m_services.at(server->service))) {
+    const service_state &service = m_services.at(server->service);
+    if (isDead(*server, service)) {
         return backend_health::Dead;
     }
     if (server->ramp.isCold()) {
         return backend_health::Cold;
     }
-    if (server->judge.isFailing(now) || !hasConnectionRoom(*server, now)) {
+    if (isFailing(*server, service, now) || !hasConnectionRoom(*server, now)) {
         return backend_health::Overloaded;
     }
     return backend_health::Healthy;
@@ -225,7 +229,7 @@
     if (evidence == flow_evidence::Answered) {
         onAnswered(*server, service, now);
     } else {
-        onFailed(*server, service, ownOffer, now);
+        onFailed(*server, service, ownOffer, evidence == flow_evidence::Reset, now);
     }
 }
 
@@ -236,17 +240,19 @@
     server.window.onAnswered();
     server.judge.onAnswered(now);
     if (!server.judge.isUnready()) {
-        server.ramp.onAnswered(server.homeShare);
+        server.ramp.onAnswered(server.homeShare, service.load.toleratedRatio);
     }
 }
 
 void capacity_admission::onFailed(server_state &server, service_state &service, bool ownOffer,
-                                  time_point now)
+                                  bool shed, time_point now)
 {
-    server.window.onFailed();
     server.judge.onFailed(now);
+    if (shed || isFailing(server, service, now)) {
+        server.window.onFailed();
+    }
     if (ownOffer) {
-        server.ramp.onFailed(now);
+        server.ramp.onFailed(service.load.toleratedRatio, now);
     }
     restartIfFailing(server, service, now);
 }
@@ -254,7 +260,7 @@
 void capacity_admission::restartIfFailing(server_state &server, service_state &service,
                                           time_point now)
 {
-    if (server.ramp.isCold() || !server.judge.isFailing(now)) {
+    if (server.ramp.isCold() || !isFailing(server, service, now)) {
         return;
     }
     service.summarisedAt = now - SummaryLifetime;
@@ -271,7 +277,7 @@
         return;
     }
     for (std::uint32_t i = 0; i < missing; ++i) {
-        onFailed(server, service, true, now);
+        onFailed(server, service, true, false, now);
     }
 }
 
@@ -335,6 +341,9 @@
         loads.push_back(loadOf(m_servers.at(id), now));
     }
     service.load = summarise(loads);
+    if (service.load.failing > 0 || service.load.busyShare >= SlotWatermark) {
+        service.controlledUntil = now + ControlPeriod;
+    }
 }
 
 server_load capacity_admission::loadOf(const server_state &server, time_point now) const
@@ -343,9 +352,10 @@
     load.openFlows = server.load.openFlows(countingShare(server.homeShare), now);
     load.weight = server.weight;
     load.busySlots = server.judge.busySlots();
-    load.slotLimit = server.slotLimit;
-    load.failing = server.judge.isFailing(now);
+    load.failedRatio = server.judge.failedRatio(now);
+    load.enoughFailures = server.judge.hasFailures(now);
     load.dead = server.judge.isDead();
+    load.usableSlots = load.dead ? 0 : server.slotLimit * server.ramp.share();
     load.comparable = server.load.hasReport(now) && !server.ramp.isCold() && !load.dead;
     return load;
 }
@@ -355,6 +365,12 @@
     return service.everAnswered && now - service.lastAnswer <= AnswerMemory;
 }
 
+bool capacity_admission::isFailing(const server_state &server, const service_state &service,
+                                   time_point now) const
+{
+    return service.load.isFailing(loadOf(server, now));
+}
+
 bool capacity_admission::isDead(const server_state &server, const service_state &service) const
 {
     return server.judge.isDead() && !service.load.distrustsDead();
--- a/packages/connection/capacity_admission.h
+++ b/packages/connection/capacity_admission.h
@@ -67,6 +67,7 @@
         time_point summarisedAt;
         time_point lastAnswer;
         bool everAnswered = false;
+        time_point controlledUntil; ///< Homes decide every new flow until then.
         std::size_t refusalsInRow = 0; ///< TryNext results since the last Admit.
     };
 
@@ -83,12 +84,14 @@
 
     void expireOffers(server_state &server, service_state &service, time_point now);
     void onAnswered(server_state &server, service_state &service, time_point now);
-    void onFailed(server_state &server, service_state &service, bool ownOffer, time_point now);
+    void onFailed(server_state &server, service_state &service, bool ownOffer, bool shed,
+                  time_point now);
     void restartIfFailing(server_state &server, service_state &service, time_point now);
-    void judgeWarmth(server_state &server, const service_state &service,
-                     const load_report &report, time_point now);
+    void judgeWarmth(server_state &server, const service_state &service, const load_report &report,
+                     time_point now);
 
     bool seesAnswers(const service_state &service, time_point now) const;
+    bool isFailing(const server_state &server, const service_state &service, time_point now) const;
     bool isDead(const server_state &server, const service_state &service) const;
     server_state *find(backend_server_id id);
     const server_state *find(backend_server_id id) const;
--- a/packages/connection/cold_start_ramp.cpp
+++ b/packages/connection/cold_start_ramp.cpp
@@ -6,16 +6,14 @@
 
 namespace {
 
-// Share of a step's flows that must be answered before the share doubles (design section 6).
-constexpr double ProvenRatio = 0.95;
-
 // Flows in a step at full share, over all instances. Steps shrink with the share, so that each step
-// lasts as long as the last one at constant load and the work done doubles along with the share. The
-// first step then has 20 flows, the fewest from which 95% can be told from 100%.
+// lasts as long as the last one at constant load and the work done doubles along with the share.
+// The first step then has 20 flows, the fewest from which 95% can be told from 100%.
 constexpr double StepFlowsAtFullShare = 400;
 
-// An instance with a small home share still needs this many answers in a step.
-constexpr double MinimumStepFlows = 3;
+// An instance with a small home share needs one answer in a step. The proof is then spread over the
+// many homes: the share of the whole grows with the part of the homes that have an answer.
+constexpr double MinimumStepFlows = 1;
 
 // Fewer failures than this are packet loss: at 1% loss, 3 failures in 40 flows are seen in under 1%
 // of the steps.
@@ -64,21 +62,21 @@
     m_credit = std::max(0.0, m_credit - 1);
 }
 
-void cold_start_ramp::onAnswered(double homeShare)
+void cold_start_ramp::onAnswered(double homeShare, double toleratedRatio)
 {
     ++m_answered;
     const bool enough = m_answered >= stepFlows(homeShare);
-    if (!isCold() || !enough || m_answered < ProvenRatio * (m_answered + m_failed)) {
+    if (!isCold() || !enough || m_failed > toleratedRatio * (m_answered + m_failed)) {
         return;
     }
     m_share = std::min(1.0, m_share * 2);
     beginStep();
 }
 
-void cold_start_ramp::onFailed(time_point now)
+void cold_start_ramp::onFailed(double toleratedRatio, time_point now)
 {
     ++m_failed;
-    const double most = (1 - ProvenRatio) * (m_answered + m_failed);
+    const double most = toleratedRatio * (m_answered + m_failed);
     if (isCold() && m_failed >= MinimumFailures && m_failed > most) {
         restart(now);
     }
--- a/packages/connection/cold_start_ramp.h
+++ b/packages/connection/cold_start_ramp.h
@@ -10,8 +10,8 @@
  * Share of its normal load that one backend server gets from this instance while it is cold.
  *
  * The share starts at the start share and doubles when a step of flows has been answered. It never
- * grows with time alone. Flows are paid for with credit: each flow whose first choice is the backend
- * server adds the current share, so that flows turned away elsewhere do not raise the load.
+ * grows with time alone. Flows are paid for with credit: each flow whose first choice is the
+ * backend server adds the current share, so that flows turned away elsewhere do not raise the load.
  */
 class cold_start_ramp
 {
@@ -32,10 +32,13 @@
     bool mayAdmit() const { return !isCold() || m_credit >= 1; }
     void onAdmitted();
 
-    /** An admitted flow was answered; may double the share. */
-    void onAnswered(double homeShare);
+    /**
+     * An admitted flow was answered; may double the share. The tolerated ratio of failed flows, in
+     * [0, 1), applies here and to onFailed.
+     */
+    void onAnswered(double homeShare, double toleratedRatio);
     /** An admitted flow was not answered in time or was refused; may restart the ramp. */
-    void onFailed(time_point now);
+    void onFailed(double toleratedRatio, time_point now);
 
 private:
     void beginStep();
--- a/packages/connection/health_judge.cpp
+++ b/packages/connection/health_judge.cpp
@@ -7,9 +7,6 @@
 // Long enough to see the first SYN retransmissions, which come 1 s after the SYN.
 constexpr std::chrono::seconds EvidenceWindow{2};
 
-// Mirrors the 95% of answers that a cold start demands.
-constexpr double FailingRatio = 0.05;
-
 // At 1% packet loss and 30 flows in the window, 5 failures are seen in about 1 of 100,000 windows.
 constexpr std::int64_t MinimumFailures = 5;
 
@@ -28,7 +25,7 @@
 
 // A report with less than half of the open connections of the one before shows a silent restart.
 // Below this count the drop may be chance.
-constexpr std::uint32_t MinimumConnectionsForDrop = 50;
+constexpr std::uint32_t MinimumConnectionsForDrop = 200;
 
 } // namespace
 
@@ -81,11 +78,16 @@
     return dropped ? report_finding::Restarted : report_finding::Nothing;
 }
 
-bool health_judge::isFailing(time_point now) const
+bool health_judge::hasFailures(time_point now) const
+{
+    return m_failed.total(now) >= MinimumFailures;
+}
+
+double health_judge::failedRatio(time_point now) const
 {
-    const std::int64_t failed = m_failed.total(now);
-    const auto all = static_cast<double>(failed + m_answered.total(now));
-    return failed >= MinimumFailures && static_cast<double>(failed) > FailingRatio * all;
+    const auto failed = static_cast<double>(m_failed.total(now));
+    const auto answered = static_cast<double>(m_answered.total(now));
+    return failed > 0 ? failed / (failed + answered) : 0;
 }
 
 bool health_judge::isProbed(time_point now) const
@@ -95,7 +97,7 @@
 
 bool health_judge::isSilent(time_point now) const
 {
-    return m_failed.total(now) >= MinimumFailures && m_answered.total(now) == 0;
+    return hasFailures(now) && m_answered.total(now) == 0;
 }
 
 void health_judge::updateDead(time_point now)
--- a/packages/connection/health_judge.h
+++ b/packages/connection/health_judge.h
@@ -25,8 +25,10 @@
     void onFailed(time_point now);
     report_finding onReport(const load_report &report, time_point now);
 
-    /** Too many recent flows were not answered, as at an overloaded or cold backend server. */
-    bool isFailing(time_point now) const;
+    /** More flows failed recently than packet loss explains. */
+    bool hasFailures(time_point now) const;
+    /** Failed flows relative to all flows whose outcome was seen recently; 0 without any. */
+    double failedRatio(time_point now) const;
     /** Neither traffic nor probes are answered. Stays set until either is answered again. */
     bool isDead() const { return m_dead; }
     /** Mean of busy slots in the last reports, in slots. */
--- a/packages/connection/load_estimate.cpp
+++ b/packages/connection/load_estimate.cpp
@@ -16,12 +16,12 @@
 // left out, because the end of a flow may be seen by another instance after a change of homes.
 constexpr std::chrono::seconds OwnFlowsPeriod{60};
 
-// The report may be as old as MaximumReportAge, and flows that start now show in a report only after
-// that time again.
+// The report may be as old as MaximumReportAge, and flows that start now show in a report only
+// after that time again.
 constexpr std::chrono::seconds ProjectionPeriod = 2 * MaximumReportAge;
 
-// Weight of the change between two reports. At 8 new and 8 ended flows per second, it leaves a noise
-// of 2 flows/s.
+// Weight of the change between two reports. At 8 new and 8 ended flows per second, it leaves a
+// noise of 2 flows/s.
 constexpr double GrowthSmoothing = 0.5;
 
 } // namespace
--- a/packages/connection/offer_window.cpp
+++ b/packages/connection/offer_window.cpp
@@ -11,8 +11,9 @@
 // lets that retransmission be seen first.
 constexpr std::chrono::milliseconds AnswerDeadline{1500};
 
-// Unanswered flows per slot. At 1, every slot is busy only if new flows take no time to arrive; at 4,
-// a flow waits for three others, which is well below the answer deadline for requests up to 300 ms.
+// Unanswered flows per slot. At 1, every slot is busy only if new flows take no time to arrive; at
+// 4, a flow waits for three others, which is well below the answer deadline for requests up to 300
+// ms.
 constexpr double MinimumQueueFactor = 1;
 constexpr double InitialQueueFactor = 2;
 constexpr double MaximumQueueFactor = 4;
--- a/packages/connection/service_load.cpp
+++ b/packages/connection/service_load.cpp
@@ -10,9 +10,17 @@
 constexpr double LowestOfMedian = 0.5;
 constexpr double HighestOfMedian = 1.5;
 
+// Part of its flows that a backend server may leave unanswered: a cold start needs 95% of answers
+// (design section 6). Where the usual backend server is slow to answer, twice its ratio is added.
+constexpr double BaseTolerance = 0.05;
+constexpr double UsualFailures = 2;
+
+// With more failures than this, nothing is tolerated any longer as usual.
+constexpr double HighestTolerance = 0.5;
+
 double median(std::vector<double> values)
 {
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
     std::nth_element(values.begin(), middle, values.end());
     return *middle;
 }
@@ -43,6 +51,16 @@
     return flows / weight;
 }
 
+double toleratedRatio(const std::vector<server_load> &loads)
+{
+    std::vector<double> ratios;
+    for (const server_load &load : loads) {
+        ratios.push_back(load.failedRatio);
+    }
+    const double usual = ratios.empty() ? 0 : median(ratios);
+    return std::min(HighestTolerance, BaseTolerance + UsualFailures * usual);
+}
+
 } // namespace
 
 service_load summarise(const std::vector<server_load> &loads)
@@ -50,14 +68,15 @@
     service_load sum;
     sum.servers = loads.size();
     sum.flowsPerWeight = robustMean(loads);
+    sum.toleratedRatio = toleratedRatio(loads);
     double slots = 0;
     for (const server_load &load : loads) {
         sum.busyShare += load.busySlots;
-        slots += load.slotLimit;
-        sum.failing += load.failing ? 1 : 0;
+        slots += load.usableSlots;
+        sum.failing += sum.isFailing(load) ? 1 : 0;
         sum.dead += load.dead ? 1 : 0;
     }
-    sum.busyShare = slots > 0 ? sum.busyShare / slots : 0;
+    sum.busyShare = slots > 0 ? sum.busyShare / slots : 1;
     return sum;
 }
 
--- a/packages/connection/service_load.h
+++ b/packages/connection/service_load.h
@@ -11,9 +11,10 @@
     double openFlows = 0; ///< Estimated over all instances.
     double weight = 0; ///< Relative share of new flows; over 0.
     double busySlots = 0; ///< As reported.
-    double slotLimit = 0;
+    double usableSlots = 0; ///< Slots, less what a cold or dead backend server lacks.
     bool comparable = false; ///< Warm, alive and with a usable report.
-    bool failing = false;
+    double failedRatio = 0; ///< Recent flows that were not answered, in [0, 1].
+    bool enoughFailures = false; ///< The ratio is more than packet loss.
     bool dead = false;
 };
 
@@ -21,7 +22,8 @@
 struct service_load
 {
     double flowsPerWeight = 0; ///< Mean over the comparable backend servers; 0 if there are none.
-    double busyShare = 0; ///< Reported busy slots relative to all slots.
+    double busyShare = 0; ///< Reported busy slots relative to the usable slots.
+    double toleratedRatio = 0.05; ///< Failed flows that do not show a cold backend server.
     std::size_t servers = 0;
     std::size_t failing = 0;
     std::size_t dead = 0;
@@ -30,6 +32,11 @@
     bool distrustsDead() const { return dead * 2 > servers; }
     /** More than half are failing: overload or a fault on the way, not a cold backend server. */
     bool distrustsFailing() const { return failing * 2 > servers; }
+
+    bool isFailing(const server_load &server) const
+    {
+        return server.enoughFailures && server.failedRatio > toleratedRatio;
+    }
 };
 
 /**
--- a/tests/connection/capacity_admission_test.cpp
+++ b/tests/connection/capacity_admission_test.cpp
@@ -49,10 +49,11 @@
             const double before = world.servers[0].work;
             world.run(1);
             const bool full = world.servers[0].work - before >= 0.9 * UsualRate / Servers;
-            result.fullShareAfter = full && result.fullShareAfter < 0 ? second : result.fullShareAfter;
+            result.fullShareAfter =
+                    full && result.fullShareAfter < 0 ? second : result.fullShareAfter;
         }
         result.goodput = static_cast<double>(world.good - good)
-                / static_cast<double>(world.offered - offered);
+                         / static_cast<double>(world.offered - offered);
         result.falls = world.totalFalls();
         MESSAGE(name, ": falls ", result.falls, ", goodput ", result.goodput,
                 ", full share of server 0 after ", result.fullShareAfter, " s");
@@ -72,7 +73,9 @@
 TEST_CASE_FIXTURE(capacity_fixture, "cold start, one server at full load, is not overloaded")
 {
     // Guards invariant 3. The server turns cold while it serves, so its reports tell only later.
-    const scenario begin = [](capacity_world &world) { restartFirst(world, 1, true); };
+    const scenario begin = [](capacity_world &world) {
+        restartFirst(world, 1, true);
+    };
     CHECK(measure(plain, "plain hashing", begin).falls > 0);
     CHECK(measure(fixed, "fixed time ramp", begin).falls > 0);
     const outcome result = measure(product, "product", begin);
@@ -83,7 +86,9 @@
 TEST_CASE_FIXTURE(capacity_fixture, "silent return to cold, nothing but traffic tells, is detected")
 {
     // Guards against trusting the start count: the server loses its caches without restarting.
-    const scenario begin = [](capacity_world &world) { restartFirst(world, 1, false); };
+    const scenario begin = [](capacity_world &world) {
+        restartFirst(world, 1, false);
+    };
     CHECK(measure(plain, "plain hashing", begin).falls > 0);
     CHECK(measure(product, "product", begin).falls == 0);
 }
@@ -91,7 +96,9 @@
 TEST_CASE_FIXTURE(capacity_fixture, "cold start, half of the servers at once, none falls over")
 {
     // Guards against sending the refused flows of many cold servers to the next cold one.
-    const scenario begin = [](capacity_world &world) { restartFirst(world, Servers / 2, true); };
+    const scenario begin = [](capacity_world &world) {
+        restartFirst(world, Servers / 2, true);
+    };
     const outcome simple = measure(plain, "plain hashing", begin);
     measure(fixed, "fixed time ramp", begin);
     const outcome result = measure(product, "product", begin);
@@ -125,7 +132,8 @@
     CHECK(measure(product, "product", begin).falls == 0);
 }
 
-TEST_CASE_FIXTURE(capacity_fixture, "failure domain crash, all its callers reconnect, none falls over")
+TEST_CASE_FIXTURE(capacity_fixture,
+                  "failure domain crash, all its callers reconnect, none falls over")
 {
     // Guards invariant 3 for the survivors during the storm and for the domain when it returns.
     constexpr std::size_t DomainServers = 5;
@@ -142,7 +150,8 @@
     CHECK(measure(product, "product", begin).falls == 0);
 }
 
-TEST_CASE_FIXTURE(capacity_fixture, "stalled server, still answers probes, gets no more than a trickle")
+TEST_CASE_FIXTURE(capacity_fixture,
+                  "stalled server, still answers probes, gets no more than a trickle")
 {
     // Guards against trusting probes that pass while flows hang.
     const auto offers = [](capacity_strategy &strategy) {
@@ -176,7 +185,8 @@
     CHECK(result.goodput >= 0.95);
 }
 
-TEST_CASE_FIXTURE(capacity_fixture, "misleading endpoint, claims to be full, costs no more than itself")
+TEST_CASE_FIXTURE(capacity_fixture,
+                  "misleading endpoint, claims to be full, costs no more than itself")
 {
     // Guards against refusing flows that the other servers have room for.
     const scenario begin = [](capacity_world &world) {
@@ -191,7 +201,8 @@
     CHECK(result.goodput >= 0.95);
 }
 
-TEST_CASE_FIXTURE(capacity_fixture, "overload, twice and five times the capacity, keeps the goodput")
+TEST_CASE_FIXTURE(capacity_fixture,
+                  "overload, twice and five times the capacity, keeps the goodput")
 {
     // Guards the goodput bound of design section 1; the best possible is to answer at full rate.
     for (const double factor : {2.0, 5.0}) {
@@ -245,7 +256,8 @@
     }
 }
 
-TEST_CASE_FIXTURE(capacity_fixture, "connection limit, more flows than room, is kept up to its allowance")
+TEST_CASE_FIXTURE(capacity_fixture,
+                  "connection limit, more flows than room, is kept up to its allowance")
 {
     // Guards the hard limit: the servers of this test accept more than their limit.
     constexpr double Limit = 300;
@@ -272,8 +284,8 @@
         product_admission limited(Instances, capacityIntent(Servers, like), Start);
         const double simple = mostOpen(plain);
         const double most = mostOpen(limited);
-        MESSAGE("reports ", lag, " s late, limit ", Limit, " + ", allowance, ": most open flows with ",
-                "plain hashing ", simple, ", product ", most);
+        MESSAGE("reports ", lag, " s late, limit ", Limit, " + ", allowance,
+                ": most open flows with ", "plain hashing ", simple, ", product ", most);
         CHECK(simple > Limit + allowance);
         CHECK(most <= Limit + allowance);
     }
--- a/tests/connection/capacity_model.h
+++ b/tests/connection/capacity_model.h
@@ -61,7 +61,8 @@
     bool down = false;
     bool stalled = false; ///< Answers probes but no flow.
     bool tellsRestart = true;
-    std::function<void(load_report &)> lie = [](load_report &) {};
+    std::function<void(load_report &)> lie = [](load_report &) {
+    };
 
     double speed() const { return std::min(1.0, 0.05 + work / workToWarm); }
     std::size_t inFlight() const { return queue.size() + busy; }
@@ -80,7 +81,9 @@
         , m_random(seed)
         , m_strategy(strategy)
     {
-        const auto report = [this] { sendReports(); };
+        const auto report = [this] {
+            sendReports();
+        };
         every(1.0, report);
     }
 
@@ -160,17 +163,20 @@
 
     time_point now() const
     {
-        return time_point(std::chrono::nanoseconds(static_cast<std::int64_t>((m_now + 1000) * 1e9)));
+        return time_point(
+                std::chrono::nanoseconds(static_cast<std::int64_t>((m_now + 1000) * 1e9)));
     }
     double seconds() const { return m_now; }
 
     /** Most open flows on one server relative to the mean of all. */
     double imbalance() const
     {
-        const auto lessOpen = [](const auto &a, const auto &b) { return a.open < b.open; };
+        const auto lessOpen = [](const auto &a, const auto &b) {
+            return a.open < b.open;
+        };
         const auto most = std::max_element(servers.begin(), servers.end(), lessOpen);
         return static_cast<double>(most->open) * static_cast<double>(servers.size())
-                / static_cast<double>(totalOpen());
+               / static_cast<double>(totalOpen());
     }
     std::size_t totalOpen() const { return sum(&model_server::open); }
     /** Requests per second that all servers could answer now. */
--- a/tests/connection/capacity_strategies.h
+++ b/tests/connection/capacity_strategies.h
@@ -94,8 +94,10 @@
         }
         for (int tries = 0; tries < serverCount(); ++tries) {
             // An odd step visits every server once from a start that depends on the flow.
-            const int step = tries == 0 ? 0 : static_cast<int>((hash >> 20) % (serverCount() - 1)) + 1;
-            const int server = (target + (tries == 0 ? 0 : (step + tries - 2) % (serverCount() - 1) + 1))
+            const int step =
+                    tries == 0 ? 0 : static_cast<int>((hash >> 20) % (serverCount() - 1)) + 1;
+            const int server =
+                    (target + (tries == 0 ? 0 : (step + tries - 2) % (serverCount() - 1) + 1))
                     % serverCount();
             if (home.admitFlow(serverId(server), now) == admission::Admit) {
                 return {server, m_homes[slot]};
@@ -159,8 +161,8 @@
         }
         for (std::size_t i = 0; i < m_instances.size(); ++i) {
             for (int server = 0; server < serverCount(); ++server) {
-                const double share = static_cast<double>(counts[{static_cast<int>(i), server}])
-                        / totals[server];
+                const double share =
+                        static_cast<double>(counts[{static_cast<int>(i), server}]) / totals[server];
                 m_instances[i]->setHomeShare(serverId(server), share, now);
             }
         }
