--- a/packages/connection/capacity_admission.cpp
+++ b/packages/connection/capacity_admission.cpp
@@ -266,7 +266,7 @@
     service.summarisedAt = now - SummaryLifetime;
     refreshLoad(service, now);
     if (!service.load.distrustsFailing()) {
-        server.ramp.restart(now);
+        server.ramp.stepBack(server.judge.failedRatio(now), now);
     }
 }
 
--- a/packages/connection/cold_start_ramp.cpp
+++ b/packages/connection/cold_start_ramp.cpp
@@ -15,6 +15,10 @@
 // many homes: the share of the whole grows with the part of the homes that have an answer.
 constexpr double MinimumStepFlows = 1;
 
+// With more failures than this in a step, the backend server is cold. With fewer it is only slower
+// than the last step suggested, and half of the share is the load that it has borne.
+constexpr double RestartRatio = 0.5;
+
 // Fewer failures than this are packet loss: at 1% loss, 3 failures in 40 flows are seen in under 1%
 // of the steps.
 constexpr std::uint32_t MinimumFailures = 3;
@@ -78,10 +82,15 @@
     ++m_failed;
     const double most = toleratedRatio * (m_answered + m_failed);
     if (isCold() && m_failed >= MinimumFailures && m_failed > most) {
-        restart(now);
+        stepBack(m_failed / (1.0 * (m_answered + m_failed)), now);
     }
 }
 
+void cold_start_ramp::stepBack(double failedRatio, time_point now)
+{
+    continueFrom(failedRatio > RestartRatio ? m_startShare : m_share / 2, now);
+}
+
 void cold_start_ramp::beginStep()
 {
     m_answered = 0;
--- a/packages/connection/cold_start_ramp.h
+++ b/packages/connection/cold_start_ramp.h
@@ -24,6 +24,8 @@
 
     /** Returns to the start share. */
     void restart(time_point now);
+    /** Halves the share, or returns to the start share if most flows failed. */
+    void stepBack(double failedRatio, time_point now);
     /** Continues a cold start that other instances have already brought to a share. */
     void continueFrom(double share, time_point now);
 
@@ -37,7 +39,7 @@
      * [0, 1), applies here and to onFailed.
      */
     void onAnswered(double homeShare, double toleratedRatio);
-    /** An admitted flow was not answered in time or was refused; may restart the ramp. */
+    /** An admitted flow was not answered in time or was refused; may reduce the share. */
     void onFailed(double toleratedRatio, time_point now);
 
 private:
