--- a/packages/connection/cold_start_ramp.h
+++ b/packages/connection/cold_start_ramp.h
@@ -24,6 +24,8 @@
 
     /** Returns to the start share. */
     void restart(time_point now);
+    /** Halves the share, or returns to the start share if most flows failed. */
+    void stepBack(double failedRatio, time_point now);
     /** Continues a cold start that other instances have already brought to a share. */
     void continueFrom(double share, time_point now);
 
@@ -32,10 +34,13 @@
     bool mayAdmit() const { return !isCold() || m_credit >= 1; }
     void onAdmitted();
 
-    /** An admitted flow was answered; may double the share. */
-    void onAnswered(double homeShare);
-    /** An admitted flow was not answered in time or was refused; may restart the ramp. */
-    void onFailed(time_point now);
+    /**
+     * An admitted flow was answered; may double the share. The tolerated ratio of failed flows, in
+     * [0, 1), applies here and to onFailed.
+     */
+    void onAnswered(double homeShare, double toleratedRatio);
+    /** An admitted flow was not answered in time or was refused; may reduce the share. */
+    void onFailed(double toleratedRatio, time_point now);
 
 private:
     void beginStep();
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -402,7 +402,7 @@
 
 void instance_daemon::publishPages(time_point now)
 {
-    const instance_summary summary{m_options, *m_intents.plan(), m_view,   m_engine,
+    const instance_summary summary{m_options, *m_intents.plan(), m_view,        m_engine,
                                    m_core,    m_metrics,         allCounters(), now};
     m_statusServer.publish("/status", {200, "application/json", renderStatusPage(summary)});
     m_statusServer.publish("/metrics", {200, "text/plain", renderMetricsPage(summary)});
