--- a/packages/process/burn_report.cpp
+++ b/packages/process/burn_report.cpp
@@ -84,7 +84,7 @@
     if (burns(windows, SixHours, OneHour, ActTodayRate)) {
         return burn_state::ActToday;
     }
-    if (burns(windows, ThreeDays, SixHours, WatchRate)) {
+    if (burns(windows, ThreeDays, SixHours, WatchRate) || windows[ThirtyDays].budgetShare >= 1.0) {
         return burn_state::Watch;
     }
     return burn_state::Ok;
@@ -119,7 +119,7 @@
     case burn_state::ActToday:
         return "act today: the burn is steady";
     case burn_state::Watch:
-        return "watch: the budget will not last for its period";
+        return "watch: the budget is used up or will not last for its period";
     case burn_state::Ok:
         break;
     }
--- a/packages/process/burn_report.h
+++ b/packages/process/burn_report.h
@@ -34,7 +34,7 @@
 /** How urgent the burn of a service is. */
 enum class burn_state : std::uint8_t {
     Ok,
-    Watch, ///< The budget runs out before its period ends if nothing changes.
+    Watch, ///< The budget is used up, or will be before its period ends if nothing changes.
     ActToday,
     ActNow,
 };
--- a/packages/process/burn_svg.cpp
+++ b/packages/process/burn_svg.cpp
@@ -14,9 +14,8 @@
 constexpr int HeaderHeight = 96;
 constexpr int RowHeight = 112;
 constexpr int BarLeft = 250;
-constexpr int BarWidth = 400; ///< 100 % of the budget.
+constexpr int BarWidth = 400; ///< 100 % of the budget; an overspent budget is cut off here.
 constexpr int BarHeight = 22;
-constexpr int BarLimit = Width - Margin - BarLeft; ///< An overspent budget is cut off here.
 constexpr int RateColumn = 84;
 
 /** Colours that stay apart for readers with red-green colour blindness; words repeat their meaning.
@@ -67,7 +66,7 @@
 std::string budgetBar(const service_burn &burn, int top)
 {
     const double share = burn.windows.back().budgetShare;
-    const int length = static_cast<int>(std::min(share * BarWidth, static_cast<double>(BarLimit)));
+    const int length = static_cast<int>(std::min(share * BarWidth, static_cast<double>(BarWidth)));
     const std::string colour = colourOf(burn.state);
     std::string svg = rectangle(BarLeft, top, BarWidth, BarHeight, "fill=\"#e8e8e8\"");
     svg += rectangle(BarLeft, top, length, BarHeight, "fill=\"" + colour + "\"");
--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -190,6 +190,9 @@
     if (!isOk(answer)) {
         return errorOf(answer);
     }
+    if (!valueOf(answer)["instances"].isArray()) {
+        return notUnderstood(m_platform, "instances is missing");
+    }
     std::vector<platform_instance> listed;
     for (const Json::Value &item : valueOf(answer)["instances"]) {
         if (!item.isObject() || !item["id"].isUInt() || !item["state"].isString()
--- a/packages/process/flow_outcome_log.cpp
+++ b/packages/process/flow_outcome_log.cpp
@@ -134,7 +134,7 @@
         return notALog("services", list);
     }
     for (const Json::Value &item : list) {
-        const status outcome = merged.mergeService(item);
+        status outcome = merged.mergeService(item);
         if (!isOk(outcome)) {
             return outcome;
         }
--- a/packages/version/duration_text.cpp
+++ b/packages/version/duration_text.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-std::optional<std::chrono::seconds> parseDuration(const std::string &text)
+std::optional<std::chrono::seconds> parseNoteDuration(const std::string &text)
 {
     if (text.size() < 2) {
         return std::nullopt;
--- a/packages/version/note_acceptance.cpp
+++ b/packages/version/note_acceptance.cpp
@@ -65,7 +65,9 @@
     }
     const result<route_plan> plan = readPlanFor(valueOf(note).number);
     if (!isOk(plan)) {
-        return errorOf(plan);
+        error failure = errorOf(plan);
+        failure.message = "this release note was not accepted: " + failure.message;
+        return failure;
     }
     const intent &current = valueOf(plan).currentIntent();
     if (valueOf(note).number <= current.number) {
--- a/packages/version/note_effect.cpp
+++ b/packages/version/note_effect.cpp
@@ -84,21 +84,26 @@
 
     void describeServiceState(const failure_domain &domain)
     {
+        const std::size_t count = serverCountIn(domain.id);
+        const bool one = count == 1;
         std::string text = "failure domain " + domain.name;
         text += domain.inService ? " returns to service: its " : " is taken out of service: its ";
-        text += serverCountIn(domain.id);
-        text += domain.inService ? " take new flows again"
-                                 : " get no packet, and their open flows are given up";
+        text += one ? "backend server" : std::to_string(count) + " backend servers";
+        if (domain.inService) {
+            text += one ? " takes new flows again" : " take new flows again";
+        } else {
+            text += one ? " gets no packet, and its open flows are given up"
+                        : " get no packet, and their open flows are given up";
+        }
         say(text);
     }
 
-    std::string serverCountIn(failure_domain_id domain) const
+    std::size_t serverCountIn(failure_domain_id domain) const
     {
         const auto &servers = m_after.currentIntent().backendServers;
-        const auto count = std::count_if(
+        return static_cast<std::size_t>(std::count_if(
                 servers.begin(), servers.end(),
-                [domain](const backend_server &server) { return server.failureDomain == domain; });
-        return std::to_string(count) + (count == 1 ? " backend server" : " backend servers");
+                [domain](const backend_server &server) { return server.failureDomain == domain; }));
     }
 
     void describeServices()
--- a/packages/version/note_fields.cpp
+++ b/packages/version/note_fields.cpp
@@ -144,7 +144,7 @@
     if (value == nullptr) {
         return std::nullopt;
     }
-    const auto read = value->isString() ? parseDuration(value->asString()) : std::nullopt;
+    const auto read = value->isString() ? parseNoteDuration(value->asString()) : std::nullopt;
     if (!read || *read < range.least || *read > range.most) {
         fail(placeOf(key), *value,
              "Write a duration from \"" + durationText(range.least) + "\" to \""
