--- a/packages/ebonyway/operator_commands.cpp
+++ b/packages/ebonyway/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "ebonyway/operator_commands.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "process/burn_report.h"
 #include "version/json_text.h"
@@ -20,6 +21,25 @@
     return {error_kind::InvalidInput, message, "Run `ebonyway " + command + " --help`."};
 }
 
+/** Returns what is wrong with the command line of a known subcommand, if anything. */
+std::optional<error> usageFault(const command_options &options)
+{
+    const std::string &command = options.command;
+    const bool changesDomain = command == "take-out" || command == "bring-back";
+    const bool needsArgument = command == "check" || command == "accept" || changesDomain;
+    if (options.arguments.size() != (needsArgument ? 1U : 0U)) {
+        const char *rule = needsArgument ? " needs exactly one argument" : " takes no argument";
+        return wrongUsage(command + rule, command);
+    }
+    if (changesDomain && options.author.empty()) {
+        return wrongUsage("--author is missing", command);
+    }
+    if (command == "burn" && options.instances.empty()) {
+        return wrongUsage("--instance is missing", command);
+    }
+    return std::nullopt;
+}
+
 Json::Value linesJson(const std::vector<std::string> &lines)
 {
     Json::Value list(Json::arrayValue);
@@ -148,6 +168,9 @@
                             "Run `ebonyway --help` for the list of commands."};
         return failureOutcome(failure, options.json, UsageExitCode);
     }
+    if (const std::optional<error> fault = usageFault(options)) {
+        return failureOutcome(*fault, options.json, UsageExitCode);
+    }
     const result<report> outcome = dispatch(options);
     if (!isOk(outcome)) {
         const error &failure = errorOf(outcome);
@@ -160,13 +183,6 @@
 result<operator_commands::report> operator_commands::dispatch(const command_options &options)
 {
     const std::string &command = options.command;
-    const bool needsArgument = command == "check" || command == "accept" || command == "take-out"
-                               || command == "bring-back";
-    if (options.arguments.size() != (needsArgument ? 1U : 0U)) {
-        return wrongUsage(
-                command + (needsArgument ? " needs exactly one argument" : " takes no argument"),
-                command);
-    }
     if (command == "check") {
         return check(options.arguments.front());
     }
@@ -238,7 +254,8 @@
     report shown;
     shown.text = accepted.acceptedEarlier
                          ? subject + " had already been accepted. Nothing changed.\n"
-                         : subject + " is accepted and in force:\n" + bulletLines(checked.effect);
+                         : subject + " is accepted; every instance adopts it within seconds:\n"
+                                   + bulletLines(checked.effect);
     shown.json["note"] = Json::UInt64(checked.note.number.value);
     shown.json["accepted_earlier"] = accepted.acceptedEarlier;
     shown.json["effect"] = linesJson(checked.effect);
@@ -292,8 +309,10 @@
                          : "Note " + numberText(number) + " is in force.\n";
     shown.json["note"] = Json::UInt64(number.value);
     shown.json["digest"] = digestText(plan.currentIntent().digest);
-    addFailureDomains(plan, shown);
-    addServices(plan, shown);
+    if (number.value > 0) {
+        addFailureDomains(plan, shown);
+        addServices(plan, shown);
+    }
     addInstances(options, shown);
     return shown;
 }
@@ -400,9 +419,6 @@
 result<operator_commands::report> operator_commands::setInService(const command_options &options,
                                                                   bool inService)
 {
-    if (options.author.empty()) {
-        return wrongUsage("--author is missing", options.command);
-    }
     const std::string &name = options.arguments.front();
     for (int attempt = 1;; ++attempt) {
         const result<route_plan> plan = makeNotes().readNewestPlan();
@@ -436,32 +452,47 @@
     }
 }
 
-result<operator_commands::report> operator_commands::burn(const command_options &options)
+/** Adds what one instance has counted. */
+status operator_commands::addOutcomes(const endpoint &instance, flow_outcome_log &outcomes)
 {
-    if (options.instances.empty()) {
-        return wrongUsage("--instance is missing", options.command);
+    const result<std::string> page = m_edges.readPage(instance, "/flow_outcomes");
+    if (!isOk(page)) {
+        return errorOf(page);
     }
+    const result<Json::Value> parsed = parseJsonObject(valueOf(page));
+    if (!isOk(parsed)) {
+        return errorOf(parsed);
+    }
+    return outcomes.merge(valueOf(parsed));
+}
+
+result<operator_commands::report> operator_commands::burn(const command_options &options)
+{
     const result<route_plan> plan = makeNotes().readNewestPlan();
     if (!isOk(plan)) {
         return errorOf(plan);
     }
     flow_outcome_log outcomes;
+    std::string missing;
+    std::size_t answered = 0;
     for (const endpoint &instance : options.instances) {
-        const result<std::string> page = m_edges.readPage(instance, "/flow_outcomes");
-        if (!isOk(page)) {
-            return errorOf(page);
+        const status added = addOutcomes(instance, outcomes);
+        answered += isOk(added) ? 1 : 0;
+        if (!isOk(added)) {
+            missing.append("\nThe flows of instance ").append(instance.toString());
+            missing.append(" are missing: ").append(describe(errorOf(added))).append("\n");
         }
-        const result<Json::Value> parsed = parseJsonObject(valueOf(page));
-        if (!isOk(parsed)) {
-            return errorOf(parsed);
-        }
-        const status merged = outcomes.merge(valueOf(parsed));
-        if (!isOk(merged)) {
-            return errorOf(merged);
+        if (!isOk(added) && options.instances.size() == 1) {
+            return errorOf(added);
         }
     }
+    if (answered == 0) {
+        return error{error_kind::Unavailable, "no instance gave its flow outcomes",
+                     "Check the addresses with `ebonyway status`."};
+    }
     const auto burnt = makeBurnReport(valueOf(plan).currentIntent(), outcomes, m_edges.now);
-    report shown{burnTable(burnt), burnJson(burnt)};
+    report shown{burnTable(burnt) + missing, burnJson(burnt)};
+    shown.json["instances_missing"] = Json::UInt64(options.instances.size() - answered);
     if (!options.svgFile.empty()) {
         const status written = m_edges.writeFile(options.svgFile, burnSvg(burnt));
         if (!isOk(written)) {
