Tell cut-off domains from crashes at 48 members and repair low incarnations

Cause: members of a domain that is cut off were last heard at different times, and their last heartbeats go on circulating for some intervals, so single members were declared dead before the partition was suspected. An instance restarted with a lower incarnation (wall clock set back) was ignored for good. Ruled out: a limit on how far apart the members fell silent; it fails for the same reason. Change: a member of another domain is declared dead only while another member of that domain is heard, or if it was the last one. Pings of a lower incarnation are answered with the known details, at most 4 per tick. Changes of health are gossiped before changes of load.

--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -29,6 +29,8 @@
 constexpr duration SourceReportPeriod = 2s;
 /** Stands for a failure domain that the intent in force does not name. */
 constexpr failure_domain_id UnknownFailureDomain{0xffff};
+/** Per tick. Bounds what replayed pings of an earlier incarnation can cause. */
+constexpr int MaxLowIncarnationAnswers = 4;
 /** Replay windows of senders that are not members are dropped above this count. */
 constexpr std::size_t MaxReplayWindows = 2048;
 
@@ -67,13 +69,14 @@
     auto &datagram = std::get<secure_datagram>(opened);
     const datagram_envelope &envelope = datagram.envelope;
     if (envelope.sender == m_settings.membership.self) {
-        if (envelope.incarnation != m_settings.membership.incarnation) {
+        if (envelope.incarnation > m_membership.self().details.incarnation) {
             log("duplicate_instance_id", {{"from", from.toString()}});
         }
         return;
     }
     if (!acceptSequence(envelope)) {
         countFault(datagram_fault::Replayed);
+        answerLowIncarnation(datagram, from);
         return;
     }
     m_counters.datagramsReceived++;
@@ -156,6 +159,23 @@
     return m_windows[envelope.sender].accept(envelope.incarnation, envelope.sequence);
 }
 
+void control_core::answerLowIncarnation(const secure_datagram &datagram, const endpoint &from)
+{
+    // An instance whose wall clock went back restarts with an incarnation that peers ignore. The
+    // details that they hold of it make it take a higher one.
+    const member_record *known = m_membership.find(datagram.envelope.sender);
+    const auto ping = decodeBounded<ping_message>(datagram.payload);
+    const bool isLow =
+            known != nullptr && datagram.envelope.incarnation < known->details.incarnation;
+    if (datagram.envelope.kind != datagram_kind::Ping || !ping || !isLow
+        || m_lowIncarnationAnswers >= MaxLowIncarnationAnswers) {
+        return;
+    }
+    m_lowIncarnationAnswers++;
+    const gossip_order order{from, ping->nonce, true, {datagram.envelope.sender}};
+    send(datagram_kind::Gossip, from, {}, composeGossip(order));
+}
+
 void control_core::countFault(datagram_fault fault)
 {
     m_counters.faults[static_cast<std::size_t>(fault)]++;
@@ -218,6 +238,7 @@
 
 void control_core::onTick(time_point now)
 {
+    m_lowIncarnationAnswers = 0;
     m_membership.onTick(now);
     updateRoles(now);
     syncIntent(now);
@@ -370,7 +391,7 @@
                         std::span<const std::byte> payload)
 {
     const datagram_envelope envelope{kind, m_settings.membership.self,
-                                     m_settings.membership.incarnation, ++m_sequence};
+                                     m_membership.self().details.incarnation, ++m_sequence};
     auto sealed = m_datagrams.seal(envelope, payload, recipient);
     if (!isOk(sealed)) {
         log("datagram_not_sent", {{"reason", errorOf(sealed).message}});
--- a/packages/process/control_core.h
+++ b/packages/process/control_core.h
@@ -126,6 +126,7 @@
     void onGossip(const secure_datagram &datagram, const endpoint &from, time_point now);
     void onEngineMessage(secure_datagram &datagram);
     bool acceptSequence(const datagram_envelope &envelope);
+    void answerLowIncarnation(const secure_datagram &datagram, const endpoint &from);
     void countFault(datagram_fault fault);
     void sendOrders();
     void send(datagram_kind kind, const endpoint &to, instance_id recipient,
@@ -164,6 +165,7 @@
     bool m_isWatcher = false;
     bool m_isFirstWatcher = false; ///< Does what one instance per failure domain does.
     bool m_wasFresh = false;
+    int m_lowIncarnationAnswers = 0; ///< In this tick.
     note_number m_note; ///< In force, as reported by the daemon.
     note_digest m_digest{};
     note_number m_requiredNote; ///< Note of the peer that last confirmed the view.
--- a/packages/process/intent_sync.cpp
+++ b/packages/process/intent_sync.cpp
@@ -174,7 +174,7 @@
     }
     m_askedPeer = *peer;
     m_peerDeadline = now + PeerTimeout + PeerRetryDelay;
-    m_orders.emplace_back(std::move(order));
+    m_orders.emplace_back(order);
 }
 
 void intent_sync::giveUpPeer(instance_id peer, const std::string &reason, time_point now)
--- a/packages/process/load_gossip.cpp
+++ b/packages/process/load_gossip.cpp
@@ -38,10 +38,15 @@
     : m_self(self)
 { }
 
-bool load_gossip::isWorthTelling(const load_summary &before, const load_summary &after)
+bool load_gossip::hasHealthChanged(const load_summary &before, const load_summary &after)
 {
     return before.reachable != after.reachable || before.ready != after.ready
-           || before.startCount != after.startCount || before.busySlots != after.busySlots
+           || before.startCount != after.startCount;
+}
+
+bool load_gossip::isWorthTelling(const load_summary &before, const load_summary &after)
+{
+    return hasHealthChanged(before, after) || before.busySlots != after.busySlots
            || differsMuch(before.openConnections, after.openConnections);
 }
 
@@ -62,6 +67,7 @@
     const bool isDue = told == m_told.end() || isWorthTelling(told->second.summary, summary)
                        || round >= told->second.round + RepeatRounds;
     if (isDue) {
+        known.isUrgent = told == m_told.end() || hasHealthChanged(told->second.summary, summary);
         m_told[report.backendServer] = {summary, round};
         known.rumorsLeft = rumorsFor(memberCount);
     }
@@ -83,6 +89,7 @@
         if (!isFirst && !isNewer) {
             continue;
         }
+        known.isUrgent = isFirst || hasHealthChanged(known.summary, summary);
         known.summary = summary;
         known.round = round;
         known.rumorsLeft = rumorsFor(memberCount);
@@ -102,6 +109,9 @@
     }
     std::sort(rumors.begin(), rumors.end(),
               [](const known_report *left, const known_report *right) {
+                  if (left->isUrgent != right->isUrgent) {
+                      return left->isUrgent;
+                  }
                   return left->rumorsLeft != right->rumorsLeft
                                  ? left->rumorsLeft > right->rumorsLeft
                                  : left->summary.backendServer < right->summary.backendServer;
--- a/packages/process/load_gossip.h
+++ b/packages/process/load_gossip.h
@@ -27,7 +27,10 @@
      */
     std::vector<load_report> merge(const gossip_message &message, std::size_t memberCount);
 
-    /** Adds summaries of at most the given encoded size. message.round must be set. */
+    /**
+     * Adds summaries of at most the given encoded size, changes of health first. message.round must
+     * be set.
+     */
     void fill(gossip_message &message, std::size_t budget);
 
     /** Forgets backend servers that are not in the list. */
@@ -39,6 +42,7 @@
         load_summary summary;
         std::uint64_t round = 0; ///< Round of the probe.
         std::uint8_t rumorsLeft = 0;
+        bool isUrgent = false; ///< Tells a change of health, which is sent before load changes.
     };
     struct told_report
     {
@@ -46,6 +50,7 @@
         std::uint64_t round = 0;
     };
 
+    static bool hasHealthChanged(const load_summary &before, const load_summary &after);
     static bool isWorthTelling(const load_summary &before, const load_summary &after);
 
     instance_id m_self;
--- a/packages/process/membership.cpp
+++ b/packages/process/membership.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t ResyncPings = 2; ///< Per period. One lost answer must not delay a join.
 constexpr std::size_t ProbersPerMember = 3; ///< Bounds the pings that one silent member causes.
 constexpr std::size_t ProbeHelpers = 2; ///< Members asked by each prober to ping as well.
+/** Silence up to which a member is evidence that its failure domain is not cut off. */
+constexpr int EvidenceIntervals = 1;
 constexpr std::size_t NotePushes = 3;
 constexpr std::size_t MaxPendingPings = 64;
 constexpr std::size_t MaxWantedDetails = 1024;
@@ -338,14 +340,40 @@
         probe(record, now);
         return;
     }
-    if (record.state == member_state::Suspect && silence > interval() * DeathIntervals
-        && !isHeldBack(record)) {
+    const bool isOverdue = silence > interval() * DeathIntervals;
+    if (record.state == member_state::Suspect && isOverdue && mayDeclareDead(record, now)) {
         setState(record, member_state::Dead, now);
         report("member_dead", record);
         spread(record);
     }
 }
 
+bool membership::mayDeclareDead(const member_record &record, time_point now) const
+{
+    if (isHeldBack(record)) {
+        return false;
+    }
+    const std::string &domain = record.details.profile.failureDomain;
+    if (domain == m_settings.profile.failureDomain || contains(m_domainsOutOfService, domain)) {
+        return true;
+    }
+    // A crash is told from a cut by other members of the domain that are still heard. After a cut,
+    // their last heartbeats go on circulating on this side for a few intervals.
+    bool hasOthers = false;
+    for (const member_record &other : m_members) {
+        const bool isNeighbour = other.details.profile.failureDomain == domain
+                                 && other.details.id != record.details.id && isLive(other);
+        if (!isNeighbour) {
+            continue;
+        }
+        if (now - other.silentSince <= interval() * EvidenceIntervals) {
+            return true;
+        }
+        hasOthers = true;
+    }
+    return !hasOthers;
+}
+
 void membership::findPartitions(time_point now)
 {
     std::map<std::string, std::vector<const member_record *>> domains;
@@ -396,13 +424,11 @@
     if (group.size() < 2) {
         return false;
     }
-    const auto [first, last] = std::minmax_element(
-            group.begin(), group.end(), [](const member_record *left, const member_record *right) {
-                return left->silentSince < right->silentSince;
-            });
-    const bool areAllSilent = now - (*last)->silentSince > suspicionLimit();
-    const duration spread = (*last)->silentSince - (*first)->silentSince;
-    return areAllSilent && spread <= interval() * (DeathIntervals - SuspicionIntervals);
+    // Members that died earlier are not in the group. All others fell silent within the time that
+    // death takes, which is what "together" means here.
+    return std::all_of(group.begin(), group.end(), [this, now](const member_record *record) {
+        return now - record->silentSince > freshnessLimit();
+    });
 }
 
 bool membership::isHeldBack(const member_record &record) const
@@ -610,7 +636,7 @@
     if (now - record.silentSince <= suspicionLimit()) {
         return;
     }
-    if (isHeldBack(record)) {
+    if (!mayDeclareDead(record, now)) {
         return;
     }
     setState(record, member_state::Dead, now);
--- a/packages/process/membership.h
+++ b/packages/process/membership.h
@@ -195,6 +195,7 @@
     std::vector<const member_record *> randomReachable(std::size_t count);
     void judgeSilence(time_point now);
     void judgeMember(member_record &record, time_point now);
+    bool mayDeclareDead(const member_record &record, time_point now) const;
     void findPartitions(time_point now);
     bool fellSilentTogether(const std::vector<const member_record *> &group, time_point now) const;
     bool isHeldBack(const member_record &record) const;
--- a/tests/process/control_fleet.cpp
+++ b/tests/process/control_fleet.cpp
@@ -98,6 +98,12 @@
     schedule(m_now + phase, [this, id, incarnation] { scheduleTick(id, incarnation); });
 }
 
+void control_fleet::startWithLowIncarnation(std::uint32_t id, const std::string &domain)
+{
+    m_incarnations[id] -= 150;
+    start(id, domain);
+}
+
 void control_fleet::startMany(std::uint32_t count)
 {
     for (std::uint32_t id = 1; id <= count; ++id) {
@@ -235,7 +241,7 @@
 }
 
 void control_fleet::resume(std::uint32_t id, std::uint64_t incarnation,
-                           std::function<void(control_core &)> run)
+                           const std::function<void(control_core &)> &run)
 {
     fleet_node &resuming = node(id);
     if (!resuming.isRunning || incarnation != m_incarnations[id]) {
--- a/tests/process/control_fleet.h
+++ b/tests/process/control_fleet.h
@@ -25,8 +25,8 @@
 };
 
 /**
- * Stands for the route plan: the number and digest of the note in force and the failure domains that
- * notes with the text "out:<name>;" took out of service.
+ * Stands for the route plan: the number and digest of the note in force and the failure domains
+ * that notes with the text "out:<name>;" took out of service.
  */
 class fake_intent : public intent_snapshots
 {
@@ -73,6 +73,8 @@
 
     /** Starts an instance, or restarts it with the next incarnation. */
     void start(std::uint32_t id, const std::string &domain);
+    /** Restarts an instance with an incarnation below the earlier one, like a clock set back. */
+    void startWithLowIncarnation(std::uint32_t id, const std::string &domain);
     /** Starts instances 1..count in three failure domains in turn. */
     void startMany(std::uint32_t count);
     /** Ends an instance without notice. */
@@ -134,7 +136,7 @@
     void adopt(std::uint32_t id, note_number number, const note_digest &digest,
                const std::string &text);
     void resume(std::uint32_t id, std::uint64_t incarnation,
-                std::function<void(control_core &)> run);
+                const std::function<void(control_core &)> &run);
     bool isReachable(std::uint32_t from, std::uint32_t to) const;
 
     seeded_random m_random;
--- a/tests/process/membership_test.cpp
+++ b/tests/process/membership_test.cpp
@@ -56,6 +56,37 @@
     CHECK(fleet.hasConverged());
 }
 
+TEST_CASE_FIXTURE(membership_fixture, "membership, a restart with a lower incarnation, is repaired")
+{
+    // Guards against an instance that peers ignore for good because its wall clock was set back.
+    fleet.startMany(8);
+    fleet.run(5s);
+    fleet.startWithLowIncarnation(4, "domain-1");
+    fleet.run(5s);
+    CHECK(fleet.hasConverged());
+    CHECK(fleet.node(4).core->isFresh());
+}
+
+TEST_CASE_FIXTURE(membership_fixture, "membership, 48 instances and a cut, nobody is declared dead")
+{
+    // Guards against a partition that is taken for many crashes because its members were last heard
+    // at different times.
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        control_fleet large(seed, {});
+        large.startMany(48);
+        large.run(15s);
+        large.cut([](std::uint32_t a, std::uint32_t b) { return (a % 3 == 1) != (b % 3 == 1); });
+        large.run(60s);
+        CHECK(large.node(2).view.suspectedPartitions.size() == 1);
+        CHECK(large.events["member_dead"] == 0);
+        large.heal();
+        large.run(10s);
+        CHECK(large.hasConverged());
+        CHECK(large.node(2).view.suspectedPartitions.empty());
+    }
+}
+
 TEST_CASE_FIXTURE(membership_fixture, "membership, a planned stop, peers see it leave at once")
 {
     fleet.startMany(8);
