Test forks and the note chain; measure the memory per member

Change: a store whose note was replaced makes both sides report a fork and neither go back; wrong deaths are checked at all sizes; the control state reports its size.

--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -500,6 +500,15 @@
     return m_membership.isSynchronised() && m_note >= m_requiredNote;
 }
 
+std::size_t control_core::stateBytes() const
+{
+    // An entry of a hash map costs its value, a next pointer, and about one bucket pointer.
+    constexpr std::size_t MapEntryBytes =
+            sizeof(std::pair<instance_id, replay_window>) + 2 * sizeof(void *);
+    return m_membership.members().capacity() * sizeof(member_record)
+           + m_windows.size() * MapEntryBytes + m_loads.stateBytes();
+}
+
 failure_domain_id control_core::domainId(const std::string &name) const
 {
     for (const auto &[known, id] : m_domains) {
--- a/packages/process/control_core.h
+++ b/packages/process/control_core.h
@@ -113,6 +113,12 @@
     /** Returns whether this instance holds the lease for singleton work. */
     bool holdsLease(time_point now) const { return m_work.holdsLease(now); }
 
+    /**
+     * Returns about how many bytes the control state takes that grows with the members: their
+     * records, replay windows and reports. Notes are bounded by note_history.
+     */
+    std::size_t stateBytes() const;
+
     const control_counters &counters() const { return m_counters; }
     const membership &members() const { return m_membership; }
 
--- a/packages/process/load_gossip.cpp
+++ b/packages/process/load_gossip.cpp
@@ -139,4 +139,11 @@
     std::erase_if(m_told, isGone);
 }
 
+std::size_t load_gossip::stateBytes() const
+{
+    constexpr std::size_t LinkBytes = 2 * sizeof(void *);
+    return m_reports.size() * (sizeof(known_report) + LinkBytes)
+           + m_told.size() * (sizeof(told_report) + LinkBytes);
+}
+
 } // namespace ebonyway
--- a/packages/process/load_gossip.h
+++ b/packages/process/load_gossip.h
@@ -36,6 +36,9 @@
     /** Forgets backend servers that are not in the list. */
     void keepOnly(const std::vector<backend_server_id> &backendServers);
 
+    /** Returns about how many bytes the reports take. */
+    std::size_t stateBytes() const;
+
 private:
     struct known_report
     {
--- a/tests/process/control_core_test.cpp
+++ b/tests/process/control_core_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include "process/control_fleet.h"
+#include "version/release_note.h"
 
 namespace ebonyway {
 
@@ -126,6 +127,49 @@
     CHECK(fleet.hasConverged());
 }
 
+TEST_CASE_FIXTURE(control_core_fixture, "control core, two notes with one number, fork is reported")
+{
+    // Only a restored or edited store can cause this. No instance may go back or adopt the other
+    // one.
+    fleet.acceptNote();
+    fleet.run(5s);
+    fleet.cut([](std::uint32_t a, std::uint32_t b) { return (a % 3 == 1) != (b % 3 == 1); });
+    for (const std::uint32_t id : {1U, 4U, 7U}) {
+        fleet.node(id).mayReachPlatform = false;
+    }
+    fleet.acceptNote();
+    fleet.run(40s);
+    fleet.platform.forgetNewest("notes/");
+    fleet.platform.create("notes/0000000002", "another note", fleet.now());
+    for (const std::uint32_t id : {1U, 4U, 7U}) {
+        fleet.node(id).mayReachPlatform = true;
+    }
+    fleet.run(40s);
+    const note_digest before = fleet.node(4).plan->inForce.digest;
+    CHECK(fleet.node(4).plan->inForce.number == note_number{2});
+    CHECK(fleet.node(2).plan->inForce.digest != before);
+    fleet.heal();
+    fleet.run(20s);
+    CHECK(fleet.node(4).plan->inForce.digest == before);
+    CHECK(fleet.node(4).events["note_fork"] > 0);
+    CHECK(fleet.node(2).events["note_fork"] > 0);
+    CHECK(fleet.breaches.notesFell == 0);
+}
+
+TEST_CASE_FIXTURE(control_core_fixture, "note history, a changed text or a gap, is refused")
+{
+    note_history history;
+    const note_digest first = digestNote({}, "first");
+    CHECK(isOk(history.append(note_number{1}, first, "first")));
+    const note_digest second = digestNote(first, "second");
+    CHECK_FALSE(isOk(history.append(note_number{2}, second, "changed")));
+    CHECK_FALSE(isOk(history.append(note_number{3}, second, "second")));
+    CHECK_FALSE(isOk(history.append(note_number{2}, digestNote({}, "second"), "second")));
+    CHECK(isOk(history.append(note_number{2}, second, "second")));
+    CHECK_FALSE(isOk(history.restart(note_number{2}, first)));
+    CHECK(history.headDigest() == second);
+}
+
 TEST_CASE_FIXTURE(control_core_fixture,
                   "control core, backend servers, two probers in their domain")
 {
--- a/tests/process/scale_test.cpp
+++ b/tests/process/scale_test.cpp
@@ -84,6 +84,7 @@
         const duration taken = fleet.runUntilAllHave(fleet.acceptNote(), 30s);
         CHECK(taken <= noteLimit);
         CHECK(quiet.maxBytes <= MaxControlBytesPerSecond);
+        CHECK(fleet.events["member_dead"] == 0);
         CHECK(fleet.breaches.notesFell == 0);
         MESSAGE(count << " instances: joined after " << seconds(joined) << " s; sent per instance "
                       << quiet.meanBytes << " B/s (max " << quiet.maxBytes << "), "
@@ -91,7 +92,7 @@
                       << " calls/s; stale pairs " << 100 * quiet.staleShare << " %; suspicions "
                       << fleet.events["member_suspected"] - suspectedBefore << ", wrong deaths "
                       << fleet.events["member_dead"] << "; note everywhere after " << seconds(taken)
-                      << " s");
+                      << " s; " << fleet.node(1).core->stateBytes() / count << " bytes per member");
     }
 };
 
