--- a/cmake/ebonyway_package.cmake
+++ b/cmake/ebonyway_package.cmake
@@ -15,6 +15,22 @@
     endif()
 endfunction()
 
+# ebonyway_known_red(<package> <variable>)
+# Sets the variable to the doctest filter of the package's cases in KNOWN-RED.txt, or to nothing. A comma
+# separates filters, so a comma inside a name is matched by "?".
+function(ebonyway_known_red package variable)
+    set(list ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+    set(filter "")
+    if(EXISTS ${list})
+        set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${list})
+        file(STRINGS ${list} entries REGEX "^test: ${package}: ")
+        list(TRANSFORM entries REPLACE "^test: ${package}: " "")
+        list(TRANSFORM entries REPLACE "," "?")
+        list(JOIN entries "," filter)
+    endif()
+    set(${variable} "${filter}" PARENT_SCOPE)
+endfunction()
+
 # ebonyway_test(<name> [LIBS <target>...])
 # Builds every .cpp file in tests/<name> into the doctest program test_<name> and registers it with CTest.
 function(ebonyway_test name)
@@ -26,7 +42,13 @@
     add_executable(test_${name} ${sources} ${CMAKE_SOURCE_DIR}/tests/test_main.cpp)
     target_include_directories(test_${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
     target_link_libraries(test_${name} PRIVATE ebonyway_${name} ${ARG_LIBS})
-    add_test(NAME ${name} COMMAND test_${name} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    ebonyway_known_red(${name} known_red)
+    if(known_red)
+        add_test(NAME known_red_${name} COMMAND test_${name} "--test-case=${known_red}" --no-exitcode
+                 WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+        set(exclude_option "--test-case-exclude=${known_red}")
+    endif()
+    add_test(NAME ${name} COMMAND test_${name} ${exclude_option} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 endfunction()
 
 # ebonyway_program(<name> <source> [LIBS <target>...])
--- a/packages/connection/capacity_admission.cpp
+++ b/packages/connection/capacity_admission.cpp
@@ -26,7 +26,12 @@
 
 // A service none of whose flows was answered for longer shows no answers (direct server return, or
 // one-way UDP), so that missing answers prove nothing.
-constexpr std::chrono::seconds AnswerMemory{10};
+constexpr std::chrono::minutes AnswerMemory{10};
+
+// Time for which the homes keep deciding every new flow of a service that was busy or failing. It
+// covers the greatest age of a report, so that the decision is not dropped on an old one, and the
+// cold start that may follow.
+constexpr std::chrono::seconds ControlPeriod{30};
 
 // After this many refusals in a row, bounded load is given up for the next flow: it may move flows
 // but must never be the reason to refuse one.
@@ -35,6 +40,10 @@
 // A backend server with this share of the mean load at its first report is warm.
 constexpr double WarmShare = 0.5;
 
+// Below this mean of open flows per backend server, a low report is chance: half of 50 flows is 3.5
+// standard deviations away.
+constexpr double MinimumFlowsForWarmth = 50;
+
 // The smallest concurrency over all instances; less than one flow at a time is no progress.
 constexpr double MinimumConcurrency = 1;
 
@@ -188,12 +197,8 @@
     if (health(backendServer, now) != backend_health::Healthy) {
         return true;
     }
-    // One server's reports are mostly chance; those of the whole service tell when a surge would
-    // hurt.
-    const bool serverBusy = server->judge.busySlots() >= SlotWatermark * server->slotLimit;
-    const bool serviceBusy = service.load.busyShare >= SlotWatermark;
-    return serverBusy || serviceBusy || server->judge.isFailing(now)
-           || nearsConnectionLimit(*server, now) || isOverBound(*server, service, 0, now);
+    return now < service.controlledUntil || nearsConnectionLimit(*server, now)
+           || isOverBound(*server, service, 0, now);
 }
 
 backend_health capacity_admission::health(backend_server_id backendServer, time_point now) const
@@ -202,13 +207,14 @@
     if (server == nullptr) {
         return backend_health::Dead;
     }
-    if (isDead(*server, m_services.at(server->service))) {
+    const service_state &service = m_services.at(server->service);
+    if (isDead(*server, service)) {
         return backend_health::Dead;
     }
     if (server->ramp.isCold()) {
         return backend_health::Cold;
     }
-    if (server->judge.isFailing(now) || !hasConnectionRoom(*server, now)) {
+    if (isFailing(*server, service, now) || !hasConnectionRoom(*server, now)) {
         return backend_health::Overloaded;
     }
     return backend_health::Healthy;
@@ -225,30 +231,33 @@
     expireOffers(*server, service, now);
     const bool ownOffer = server->window.resolveOldest(now);
     if (evidence == flow_evidence::Answered) {
-        onAnswered(*server, service, now);
+        onAnswered(*server, service, ownOffer, now);
     } else {
-        onFailed(*server, service, ownOffer, now);
+        onFailed(*server, service, ownOffer, evidence == flow_evidence::Reset, now);
     }
 }
 
-void capacity_admission::onAnswered(server_state &server, service_state &service, time_point now)
+void capacity_admission::onAnswered(server_state &server, service_state &service, bool ownOffer,
+                                    time_point now)
 {
     service.lastAnswer = now;
     service.everAnswered = true;
     server.window.onAnswered();
     server.judge.onAnswered(now);
-    if (!server.judge.isUnready()) {
-        server.ramp.onAnswered(server.homeShare);
+    if (ownOffer && !server.judge.isUnready()) {
+        server.ramp.onAnswered(server.homeShare, service.load.toleratedRatio);
     }
 }
 
 void capacity_admission::onFailed(server_state &server, service_state &service, bool ownOffer,
-                                  time_point now)
+                                  bool shed, time_point now)
 {
-    server.window.onFailed();
     server.judge.onFailed(now);
+    if (shed || isFailing(server, service, now)) {
+        server.window.onFailed();
+    }
     if (ownOffer) {
-        server.ramp.onFailed(now);
+        server.ramp.onFailed(service.load.toleratedRatio, now);
     }
     restartIfFailing(server, service, now);
 }
@@ -256,13 +265,13 @@
 void capacity_admission::restartIfFailing(server_state &server, service_state &service,
                                           time_point now)
 {
-    if (server.ramp.isCold() || !server.judge.isFailing(now)) {
+    if (server.ramp.isCold() || !isFailing(server, service, now)) {
         return;
     }
     service.summarisedAt = now - SummaryLifetime;
     refreshLoad(service, now);
     if (!service.load.distrustsFailing()) {
-        server.ramp.restart(now);
+        server.ramp.stepBack(server.judge.failedRatio(now), now);
     }
 }
 
@@ -273,7 +282,7 @@
         return;
     }
     for (std::uint32_t i = 0; i < missing; ++i) {
-        onFailed(server, service, true, now);
+        onFailed(server, service, true, false, now);
     }
 }
 
@@ -312,7 +321,7 @@
     }
     server.judgedWarmth = true;
     const double share = report.openConnections / mean;
-    if (share < WarmShare) {
+    if (mean >= MinimumFlowsForWarmth && share < WarmShare) {
         server.ramp.continueFrom(share, now);
     }
 }
@@ -337,6 +346,9 @@
         loads.push_back(loadOf(m_servers.at(id), now));
     }
     service.load = summarise(loads);
+    if (service.load.failing > 0 || service.load.busyShare >= SlotWatermark) {
+        service.controlledUntil = now + ControlPeriod;
+    }
 }
 
 server_load capacity_admission::loadOf(const server_state &server, time_point now) const
@@ -345,9 +357,10 @@
     load.openFlows = server.load.openFlows(countingShare(server.homeShare), now);
     load.weight = server.weight;
     load.busySlots = server.judge.busySlots();
-    load.slotLimit = server.slotLimit;
-    load.failing = server.judge.isFailing(now);
+    load.failedRatio = server.judge.failedRatio(now);
+    load.enoughFailures = server.judge.hasFailures(now);
     load.dead = server.judge.isDead();
+    load.usableSlots = load.dead ? 0 : server.slotLimit * server.ramp.share();
     load.comparable = server.load.hasReport(now) && !server.ramp.isCold() && !load.dead;
     return load;
 }
@@ -357,6 +370,12 @@
     return service.everAnswered && now - service.lastAnswer <= AnswerMemory;
 }
 
+bool capacity_admission::isFailing(const server_state &server, const service_state &service,
+                                   time_point now) const
+{
+    return service.load.isFailing(loadOf(server, now));
+}
+
 bool capacity_admission::isDead(const server_state &server, const service_state &service) const
 {
     return server.judge.isDead() && !service.load.distrustsDead();
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+static_assert(FrameSizeLimit <= MaxEngineMessageSize,
+              "a larger engine message would never be sent and would block its channel");
+
 constexpr std::chrono::milliseconds ControlTick{50};
 constexpr std::chrono::milliseconds PageInterval{1000};
 
@@ -160,8 +163,12 @@
 {
     m_control.post([this, messages = std::move(messages)] {
         for (const outgoing_message &message : messages) {
-            // A failed send needs no handling: the engine repeats unacknowledged messages.
-            m_core.sendEngineMessage(message.to, message.bytes);
+            const status sent = m_core.sendEngineMessage(message.to, message.bytes);
+            // The engine repeats unacknowledged messages, so a peer that is gone needs no handling.
+            if (!isOk(sent) && errorOf(sent).kind != error_kind::NotFound) {
+                log(log_level::Error, "engine_message_refused",
+                    {{"reason", describe(errorOf(sent))}});
+            }
         }
         carryOutActions();
     });
@@ -395,7 +402,7 @@
 
 void instance_daemon::publishPages(time_point now)
 {
-    const instance_summary summary{m_options, *m_intents.plan(), m_view,   m_engine,
+    const instance_summary summary{m_options, *m_intents.plan(), m_view,        m_engine,
                                    m_core,    m_metrics,         allCounters(), now};
     m_statusServer.publish("/status", {200, "application/json", renderStatusPage(summary)});
     m_statusServer.publish("/metrics", {200, "text/plain", renderMetricsPage(summary)});
--- a/tests/process/control_fleet.h
+++ b/tests/process/control_fleet.h
@@ -25,8 +25,8 @@
 };
 
 /**
- * Stands for the route plan: the number and digest of the note in force and the failure domains that
- * notes with the text "out:<name>;" took out of service.
+ * Stands for the route plan: the number and digest of the note in force and the failure domains
+ * that notes with the text "out:<name>;" took out of service.
  */
 class fake_intent : public intent_snapshots
 {
