--- a/packages/process/edge/traffic_counters.h
+++ b/packages/process/edge/traffic_counters.h
@@ -15,7 +15,7 @@
 {
     std::atomic<std::uint64_t> offered = 0; ///< First packets forwarded.
     std::atomic<std::uint64_t> answered = 0; ///< SYN-ACKs, and answers of UDP flows, passed.
-    std::atomic<std::uint64_t> resetByServer = 0; ///< RSTs of backend servers passed.
+    std::atomic<std::uint64_t> resetByServer = 0; ///< SYNs that backend servers refused.
     std::atomic<std::uint64_t> refusedOverloaded = 0;
     std::atomic<std::uint64_t> givenUp = 0; ///< Packets of given-up flows that were refused.
     std::array<std::atomic<std::uint64_t>, DropReasonCount> dropped{}; ///< First packets.
--- a/packages/process/edge/traffic_worker.cpp
+++ b/packages/process/edge/traffic_worker.cpp
@@ -27,6 +27,17 @@
     return segment && (segment->flags & SynAck) == SynAck;
 }
 
+/**
+ * Returns whether a RST refuses a SYN: it then has ACK set and sequence number 0 (RFC 9293
+ * 3.10.7.1). Other RSTs also follow flows that ended well, so they say nothing about failures.
+ */
+bool isConnectionRefusal(const packet_view &packet)
+{
+    const std::optional<tcp_segment> segment = tcpSegmentOf(packet);
+    constexpr std::uint8_t RstAck = tcp_flag::Rst | tcp_flag::Ack;
+    return segment && (segment->flags & RstAck) == RstAck && segment->sequence == 0;
+}
+
 } // namespace
 
 traffic_worker::traffic_worker(const settings &options, packet_decider &decider, bool servesRelay)
@@ -219,7 +230,7 @@
     if (!service) {
         return;
     }
-    if (packet.kind == packet_kind::TcpRst) {
+    if (isConnectionRefusal(packet)) {
         traffic_counters::add(m_counters.service(*service).resetByServer);
     }
     if (isSynAck(packet) || packet.kind == packet_kind::Udp) {
