--- a/packages/connection/offer_window.h
+++ b/packages/connection/offer_window.h
@@ -14,6 +14,9 @@
  * rate of new flows to the speed of the backend server, whatever that is and however old its load
  * report. A limit below one flow is kept on average: the time that an offer was open is followed by
  * a pause, so that the limits of many instances add up to the limit of the backend server.
+ *
+ * If the kernel answers for the application (SYN-ACK), an answer does not mean that a slot is free.
+ * The window then bounds only the handshakes, and load reports and resets have to show overload.
  */
 class offer_window
 {
