End platform calls under way when an instance stops

Cause: a planned stop handed over its homes after 1.2 s and said instance_stopped after 2.2 s, but the process ended only 26 and 28 s after SIGTERM, because the worker threads waited for the long-poll watch. Ruled out: shorter watches (the platform counts each call). Change: the HTTP client keeps a registry of calls under way and cancels them.

--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -22,14 +22,30 @@
     std::string body;
 };
 
-std::unique_ptr<httplib::Client> makeClient(const endpoint &server, std::chrono::milliseconds limit)
+/** An HTTP client for one call, listed in the registry while it lives. */
+class registered_client
 {
-    auto client = std::make_unique<httplib::Client>(server.address.toString(), server.port);
-    client->set_connection_timeout(limit);
-    client->set_read_timeout(limit);
-    client->set_write_timeout(limit);
-    return client;
-}
+public:
+    registered_client(http_call_registry &calls, const endpoint &server,
+                      std::chrono::milliseconds limit)
+        : m_calls(calls)
+        , m_client(server.address.toString(), server.port)
+    {
+        m_client.set_connection_timeout(limit);
+        m_client.set_read_timeout(limit);
+        m_client.set_write_timeout(limit);
+        m_calls.add(m_client);
+    }
+    ~registered_client() { m_calls.remove(m_client); }
+    registered_client(const registered_client &) = delete;
+    registered_client &operator=(const registered_client &) = delete;
+
+    httplib::Client *operator->() { return &m_client; }
+
+private:
+    http_call_registry &m_calls;
+    httplib::Client m_client;
+};
 
 error unavailable(const endpoint &server, const std::string &reason)
 {
@@ -44,11 +60,12 @@
             "Check that the address is the platform's object API."};
 }
 
-result<http_answer> sendGet(const endpoint &server, const std::string &path,
-                            const httplib::Params &query, std::chrono::milliseconds limit)
+result<http_answer> sendGet(http_call_registry &calls, const endpoint &server,
+                            const std::string &path, const httplib::Params &query,
+                            std::chrono::milliseconds limit)
 {
     http_answer answer;
-    const auto client = makeClient(server, limit);
+    registered_client client(calls, server, limit);
     const httplib::Result sent = client->Get(
             path, query, httplib::Headers{},
             [&answer](const httplib::Response &response) {
@@ -96,10 +113,11 @@
     return etag.substr(1, etag.size() - 2);
 }
 
-result<Json::Value> sendJsonGet(const endpoint &server, const std::string &path,
-                                const httplib::Params &query, std::chrono::milliseconds limit)
+result<Json::Value> sendJsonGet(http_call_registry &calls, const endpoint &server,
+                                const std::string &path, const httplib::Params &query,
+                                std::chrono::milliseconds limit)
 {
-    const result<http_answer> answer = sendGet(server, path, query, limit);
+    const result<http_answer> answer = sendGet(calls, server, path, query, limit);
     if (!isOk(answer)) {
         return errorOf(answer);
     }
@@ -135,13 +153,37 @@
 
 } // namespace
 
+void http_call_registry::add(httplib::Client &client)
+{
+    const std::lock_guard lock(m_mutex);
+    m_clients.insert(&client);
+    if (m_isCancelled) {
+        client.stop();
+    }
+}
+
+void http_call_registry::remove(httplib::Client &client)
+{
+    const std::lock_guard lock(m_mutex);
+    m_clients.erase(&client);
+}
+
+void http_call_registry::cancelAll()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isCancelled = true;
+    for (httplib::Client *client : m_clients) {
+        client->stop();
+    }
+}
+
 http_platform_store::http_platform_store(const endpoint &platform)
     : m_platform(platform)
 { }
 
 result<stored_object> http_platform_store::get(const std::string &key, timeout limit)
 {
-    const result<http_answer> answer = sendGet(m_platform, "/objects/" + key, {}, limit);
+    const result<http_answer> answer = sendGet(m_calls, m_platform, "/objects/" + key, {}, limit);
     if (!isOk(answer)) {
         return errorOf(answer);
     }
@@ -171,7 +213,7 @@
                                               timeout limit)
 {
     const httplib::Params query{{"prefix", prefix}, {"after", after}};
-    return readObjectList(m_platform, sendJsonGet(m_platform, "/objects", query, limit));
+    return readObjectList(m_platform, sendJsonGet(m_calls, m_platform, "/objects", query, limit));
 }
 
 result<object_list> http_platform_store::watch(const std::string &prefix, std::uint64_t revision,
@@ -181,12 +223,12 @@
                                 {"revision", std::to_string(revision)},
                                 {"timeout_ms", std::to_string(limit.count())}};
     return readObjectList(m_platform,
-                          sendJsonGet(m_platform, "/watch", query, limit + WatchMargin));
+                          sendJsonGet(m_calls, m_platform, "/watch", query, limit + WatchMargin));
 }
 
 result<std::vector<platform_instance>> http_platform_store::instances(timeout limit)
 {
-    const result<Json::Value> answer = sendJsonGet(m_platform, "/instances", {}, limit);
+    const result<Json::Value> answer = sendJsonGet(m_calls, m_platform, "/instances", {}, limit);
     if (!isOk(answer)) {
         return errorOf(answer);
     }
@@ -209,7 +251,7 @@
                                              const std::string &conditionName,
                                              const std::string &condition, timeout limit)
 {
-    const auto client = makeClient(m_platform, limit);
+    registered_client client(m_calls, m_platform, limit);
     const httplib::Result sent = client->Put("/objects/" + key, {{conditionName, condition}}, value,
                                              "application/octet-stream");
     const error unknown{error_kind::OutcomeUnknown,
@@ -232,7 +274,8 @@
 result<std::string> readHttpPage(const endpoint &server, const std::string &path,
                                  std::chrono::milliseconds limit)
 {
-    const result<http_answer> answer = sendGet(server, path, {}, limit);
+    http_call_registry calls;
+    const result<http_answer> answer = sendGet(calls, server, path, {}, limit);
     if (!isOk(answer)) {
         return errorOf(answer);
     }
--- a/packages/process/edge/http_platform_store.h
+++ b/packages/process/edge/http_platform_store.h
@@ -1,13 +1,35 @@
 #pragma once
 
+#include <mutex>
+#include <set>
+
 #include "core/ip_address.h"
 #include "version/platform_store.h"
 
+namespace httplib {
+class Client;
+}
+
 namespace ebonyway {
 
 /** Largest answer in bytes that a call reads; lists of the large size stay far below it. */
 constexpr std::size_t MaxHttpAnswerBytes = 8'000'000;
 
+/** The calls under way, so that a stopping process need not wait for a watch. Thread-safe. */
+class http_call_registry
+{
+public:
+    void add(httplib::Client &client);
+    void remove(httplib::Client &client);
+    /** Ends all calls under way and all later ones; they fail with Unavailable. */
+    void cancelAll();
+
+private:
+    std::mutex m_mutex;
+    std::set<httplib::Client *> m_clients;
+    bool m_isCancelled = false;
+};
+
 /**
  * The platform's object API over HTTP (section 7 of the design page). Every call opens its own
  * connection, so calls from several threads do not wait for each other.
@@ -28,12 +50,16 @@
                               timeout limit) override;
     result<std::vector<platform_instance>> instances(timeout limit) override;
 
+    /** Ends all calls under way and all later ones. Safe from any thread. */
+    void cancelAll() { m_calls.cancelAll(); }
+
 private:
     result<std::string> put(const std::string &key, const std::string &value,
                             const std::string &conditionName, const std::string &condition,
                             timeout limit);
 
     endpoint m_platform;
+    http_call_registry m_calls;
 };
 
 /** Reads a page such as /status from an instance. Fails with Unavailable or NotFound. */
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -6,7 +6,6 @@
 #include <json/writer.h>
 
 #include "process/burn_report.h"
-#include "process/edge/http_platform_store.h"
 #include "process/edge/platform_adapter.h"
 #include "process/edge/status_pages.h"
 #include "version/route_plan.h"
@@ -90,6 +89,7 @@
     , m_core(controlSettings(m_options), m_snapshots, std::chrono::steady_clock::now())
     , m_gossip(*this, 0)
     , m_home(m_options, sessionNumber(), *this)
+    , m_platform(m_options.platform)
     , m_platformCalls(PlatformThreads, CallQueueLimit)
     , m_probeCalls(ProbeThreads, CallQueueLimit)
     , m_prober(m_probeCalls,
@@ -108,6 +108,8 @@
 {
     m_syncServer.stop();
     m_statusServer.stop();
+    // A watch may wait for 25 s more; nothing that it brings is needed any longer.
+    m_platform.cancelAll();
     m_platformCalls.stop();
     m_probeCalls.stop();
     m_home.stop();
@@ -267,9 +269,8 @@
 void instance_daemon::carryOut(const call_platform &action)
 {
     const bool queued = m_platformCalls.submit([this, action] {
-        http_platform_store store(m_options.platform);
         const time_point started = std::chrono::steady_clock::now();
-        const auto answer = callPlatform(store, action.request, timeUntil(action.deadline));
+        const auto answer = callPlatform(m_platform, action.request, timeUntil(action.deadline));
         const std::chrono::duration<double> spent = std::chrono::steady_clock::now() - started;
         m_metrics.observe("platform_call_seconds", spent.count());
         m_control.post([this, id = action.id, answer] {
--- a/packages/process/edge/instance_daemon.h
+++ b/packages/process/edge/instance_daemon.h
@@ -11,6 +11,7 @@
 #include "process/edge/datagram_socket.h"
 #include "process/edge/health_prober.h"
 #include "process/edge/home_worker.h"
+#include "process/edge/http_platform_store.h"
 #include "process/edge/outcome_collector.h"
 #include "process/edge/plan_snapshots.h"
 #include "process/edge/reactor_thread.h"
@@ -103,6 +104,7 @@
     datagram_socket m_gossip;
     home_worker m_home;
     std::deque<additional_worker> m_additional;
+    http_platform_store m_platform;
     call_worker m_platformCalls;
     call_worker m_probeCalls;
     health_prober m_prober;
