Keep early frames and repeat lost marks requests

Cause: datagrams sent together arrive in another order. The channel dropped every frame out of order, so that a burst of 32 frames needed many rounds and members stayed unsynchronised for 17 s and more after a partition. A reset of a channel also dropped a request for marks, after which a woken instance waited for ever.

Change: peer_channel keeps early frames within its window and repeats only the oldest ones; sync_round asks again after a reset; answers follow the acting home during a partition.

Ruled out: the handover itself; the traces showed packets dropped only while marks were awaited.

--- a/packages/connection/flow_engine.cpp
+++ b/packages/connection/flow_engine.cpp
@@ -433,7 +433,7 @@
         return sender == target ? answer_decision{pass_action{}}
                                 : answer_decision{drop_crossed_action{}};
     }
-    std::optional<instance_id> home = m_assignment.owners(routed.slot).home;
+    std::optional<instance_id> home = actingHome(routed.slot);
     if (const auto awaited = m_awaited.find(routed.slot); awaited != m_awaited.end()) {
         home = awaited->second.former;
     }
--- a/packages/connection/flow_engine_members.cpp
+++ b/packages/connection/flow_engine_members.cpp
@@ -217,8 +217,11 @@
         return;
     }
     for (const member &other : m_cluster.members) {
-        if (other.id != m_options.self && other.state != member_state::Dead
-            && m_sync.needsRequest(other.id)) {
+        if (other.id == m_options.self || other.state == member_state::Dead) {
+            continue;
+        }
+        const peer_channel &channel = m_exchange.channel(other.id);
+        if (m_sync.needsRequest(other.id, channel.session() + channel.resetCount())) {
             m_exchange.send(other.id, mark_sync_request{m_sync.nonce()});
         }
     }
--- a/packages/connection/peer_channel.cpp
+++ b/packages/connection/peer_channel.cpp
@@ -1,6 +1,7 @@
 #include "connection/peer_channel.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ebonyway {
 
@@ -18,6 +19,8 @@
 constexpr duration ResendAfter = 700ms;
 /** An acknowledgement that leaves out a frame older than this means that the frame was lost. */
 constexpr duration RoundTrip = 50ms;
+/** Frames sent again at once; the peer usually lacks only the first of them. */
+constexpr std::size_t ResendCount = 4;
 /** Acknowledgements wait for frames that go the same way. */
 constexpr duration AcknowledgeAfter = 250ms;
 constexpr std::size_t AcknowledgeCount = 8;
@@ -76,7 +79,7 @@
     const std::size_t count = std::min(Window, m_frames.size());
     for (std::size_t index = 0; index < count; ++index) {
         waiting_frame &frame = m_frames[index];
-        if (frame.sent && !resend) {
+        if (frame.sent && (!resend || index >= ResendCount)) {
             continue;
         }
         frame.sent = true;
@@ -108,6 +111,7 @@
         const bool restarted = m_peerSession != 0;
         m_peerSession = header.session;
         m_received = 0;
+        m_early.clear();
         if (restarted) {
             reset();
         }
@@ -115,8 +119,9 @@
     return header.peerSession == 0 || header.peerSession == m_session;
 }
 
-bool peer_channel::accept(const frame_header &header, time_point now)
+std::vector<engine_record> peer_channel::accept(engine_frame frame, time_point now)
 {
+    const frame_header &header = frame.header;
     const bool current = acceptSession(header);
     if (m_unacknowledgedInput == 0) {
         m_inputSince = now;
@@ -124,22 +129,38 @@
     if (!current) {
         // The answer tells the peer which session is the current one.
         m_unacknowledgedInput += header.session == m_peerSession ? AcknowledgeCount : 0;
-        return false;
+        return {};
     }
     if (header.peerSession == m_session) {
         onAcknowledged(header.acknowledged, now);
     }
     if (header.sequence == 0) {
-        return false;
+        return {};
     }
     ++m_unacknowledgedInput;
     if (header.sequence != m_received + 1) {
-        // A frame is missing or came twice; the answer makes the peer send again at once.
+        // A frame is missing or came twice; the answer makes the peer send again.
         m_unacknowledgedInput += AcknowledgeCount;
-        return false;
     }
-    m_received = header.sequence;
-    return true;
+    return takeInOrder(std::move(frame));
+}
+
+std::vector<engine_record> peer_channel::takeInOrder(engine_frame frame)
+{
+    const std::uint32_t sequence = frame.header.sequence;
+    if (sequence <= m_received || sequence > m_received + Window) {
+        return {};
+    }
+    m_early.insert_or_assign(sequence, std::move(frame.records));
+    std::vector<engine_record> records;
+    while (!m_early.empty() && m_early.begin()->first == m_received + 1) {
+        std::vector<engine_record> &next = m_early.begin()->second;
+        records.insert(records.end(), std::make_move_iterator(next.begin()),
+                       std::make_move_iterator(next.end()));
+        m_early.erase(m_early.begin());
+        ++m_received;
+    }
+    return records;
 }
 
 void peer_channel::onAcknowledged(std::uint32_t sequence, time_point now)
--- a/packages/connection/peer_channel.h
+++ b/packages/connection/peer_channel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,8 +35,8 @@
     /** Returns the frames to send now. */
     std::vector<std::vector<std::byte>> takeFrames(time_point now);
 
-    /** Takes a frame's header and returns whether its records are next in order. */
-    bool accept(const frame_header &header, time_point now);
+    /** Takes a frame and returns the records that are next in order; early frames are kept. */
+    std::vector<engine_record> accept(engine_frame frame, time_point now);
 
 private:
     struct waiting_frame
@@ -50,6 +51,7 @@
     void reset();
     void onAcknowledged(std::uint32_t sequence, time_point now);
     bool acceptSession(const frame_header &header);
+    std::vector<engine_record> takeInOrder(engine_frame frame);
     std::vector<std::byte> encode(std::uint32_t sequence, const std::string &records);
 
     std::uint32_t m_session;
@@ -61,6 +63,7 @@
     bool m_resendNow = false;
     std::string m_open;
     std::deque<waiting_frame> m_frames;
+    std::map<std::uint32_t, std::vector<engine_record>> m_early; ///< Received out of order.
     std::size_t m_unacknowledgedInput = 0;
     time_point m_inputSince{};
 };
--- a/packages/connection/peer_exchange.cpp
+++ b/packages/connection/peer_exchange.cpp
@@ -37,10 +37,7 @@
         ++m_malformedCount;
         return {};
     }
-    if (!channel(from).accept(frame->header, now)) {
-        return {};
-    }
-    return std::move(frame->records);
+    return channel(from).accept(std::move(*frame), now);
 }
 
 std::vector<outgoing_message> peer_exchange::takeMessages(time_point now)
--- a/packages/connection/sync_round.cpp
+++ b/packages/connection/sync_round.cpp
@@ -1,6 +1,7 @@
 #include "connection/sync_round.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "connection/freshness.h"
 
@@ -17,6 +18,16 @@
     return ++m_nonce;
 }
 
+bool sync_round::needsRequest(instance_id peer, std::uint32_t channelSession)
+{
+    const auto [asked, inserted] = m_asked.try_emplace(peer, channelSession);
+    if (inserted) {
+        return true;
+    }
+    return !m_answered.contains(peer)
+           && std::exchange(asked->second, channelSession) != channelSession;
+}
+
 bool sync_round::onAnswer(instance_id from, const sync_end &answer)
 {
     if (!m_running || answer.nonce != m_nonce) {
--- a/packages/connection/sync_round.h
+++ b/packages/connection/sync_round.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <set>
 
 #include "connection/cluster_view.h"
@@ -20,8 +21,11 @@
     std::uint32_t nonce() const { return m_nonce; }
     void finish() { m_running = false; }
 
-    /** Returns whether the member still has to be asked, and remembers that it was. */
-    bool needsRequest(instance_id peer) { return m_asked.insert(peer).second; }
+    /**
+     * Returns whether the member still has to be asked, and remembers that it was. A request is
+     * lost when the channel to the member is reset, and is then repeated.
+     */
+    bool needsRequest(instance_id peer, std::uint32_t channelSession);
     /** Takes an answer and returns whether it belongs to this round. */
     bool onAnswer(instance_id from, const sync_end &answer);
 
@@ -38,7 +42,7 @@
     std::uint32_t m_nonce = 0;
     note_number m_highestNote;
     time_point m_startedAt{};
-    std::set<instance_id> m_asked;
+    std::map<instance_id, std::uint32_t> m_asked; ///< Channel session of the request.
     std::set<instance_id> m_answered;
 };
 
