--- a/packages/connection/flow_engine_slots.cpp
+++ b/packages/connection/flow_engine_slots.cpp
@@ -58,7 +58,7 @@
         }
     }
     m_admission.adoptIntent(next, now);
-    m_settledRoute.setPlan(m_plan);
+    m_settledRoute.setPlan(*m_plan);
     refreshUsableServers();
     retargetHomes(now);
     refreshAllSlots();
--- a/packages/connection/settled_route.cpp
+++ b/packages/connection/settled_route.cpp
@@ -17,15 +17,16 @@
     , m_seenUdp(&seenUdp)
 { }
 
-void settled_route::setPlan(std::shared_ptr<const route_plan> plan)
+void settled_route::setPlan(const route_plan &plan)
 {
-    m_plan = std::move(plan);
+    const intent &current = plan.currentIntent();
+    m_lookup = service_lookup(current);
     m_services.clear();
-    m_services.resize(m_plan->currentIntent().nextServiceId);
-    for (const service &current : m_plan->currentIntent().services) {
-        const slot_table *table = m_plan->slotTable(current.id);
+    m_services.resize(current.nextServiceId);
+    for (const service &known : current.services) {
+        const slot_table *table = plan.slotTable(known.id);
         if (table != nullptr) {
-            m_services[current.id.value].resize(table->targets.size());
+            m_services[known.id.value].resize(table->targets.size());
         }
     }
 }
@@ -45,10 +46,7 @@
 
 settled_route::located_packet settled_route::locate(const packet_view &packet) const
 {
-    if (!m_plan) {
-        return {};
-    }
-    const std::optional<service_id> service = m_plan->serviceFor(packet.key);
+    const std::optional<service_id> service = m_lookup.find(packet.key);
     if (!service || m_services[service->value].empty()) {
         return {};
     }
--- a/packages/connection/settled_route.h
+++ b/packages/connection/settled_route.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "connection/answer_decision.h"
+#include "connection/service_lookup.h"
 #include "core/keyed_hash.h"
 
 namespace ebonyway {
@@ -53,7 +54,8 @@
     std::optional<answer_decision> checkAnswer(const packet_view &packet, backend_server_id sender,
                                                const packet_origin &origin, time_point now) const;
 
-    void setPlan(std::shared_ptr<const route_plan> plan);
+    /** Starts anew with the services of a plan; all slots are undecided. */
+    void setPlan(const route_plan &plan);
     void setSlot(slot_id slot, const slot_entry &entry);
     void setHomes(std::vector<home_entry> homes) { m_homes = std::move(homes); }
     /** Sets which backend servers may receive packets, indexed by id. */
@@ -77,7 +79,7 @@
 
     keyed_hash m_hash;
     udp_seen_set *m_seenUdp;
-    std::shared_ptr<const route_plan> m_plan;
+    service_lookup m_lookup;
     std::vector<std::vector<slot_entry>> m_services; ///< Indexed by service id.
     std::vector<home_entry> m_homes;
     std::vector<std::uint8_t> m_usable;
