--- a/packages/connection/flow_engine.h
+++ b/packages/connection/flow_engine.h
@@ -193,6 +193,7 @@
     void trackReportedFlow(flow_hash hash, service_id service, time_point now);
     void checkDeviations(time_point now);
     void openDeviation(slot_id slot, time_point now);
+    void openActingHome(slot_id slot, time_point now);
     void openActingHomes(time_point now);
     void maintainCopies(time_point now);
     void dropStaleCopies(time_point now);
--- a/packages/connection/flow_engine_slots.cpp
+++ b/packages/connection/flow_engine_slots.cpp
@@ -569,6 +569,20 @@
     refreshSlot(slot);
 }
 
+void flow_engine::openActingHome(slot_id slot, time_point now)
+{
+    slot_home *held = m_store.find(slot);
+    if (held == nullptr || isSettled(slot)) {
+        openDeviation(slot, now);
+        return;
+    }
+    if (!held->isActive()) {
+        // The copies of the home on the other side keep its flows on their backend servers.
+        takeOver(*held, now);
+        setMark(*held, {held->state().mark.note, held->state().mark.epoch | 1U});
+    }
+}
+
 void flow_engine::openActingHomes(time_point now)
 {
     if (!m_hasOwnCallers || now - m_actingCheckedAt < ActingCheckInterval) {
@@ -583,7 +597,7 @@
             const std::optional<instance_id> acting = actingHome(slot);
             const bool needed = home != acting || !isReachable(table->targets[index]);
             if (needed && acting == m_options.self) {
-                openDeviation(slot, now);
+                openActingHome(slot, now);
             }
         }
     }
--- a/tests/connection/engine_driver.cpp
+++ b/tests/connection/engine_driver.cpp
@@ -16,7 +16,6 @@
 constexpr duration HeartbeatInterval = 500ms;
 constexpr duration SuspectAfter = 1500ms;
 constexpr duration DeadAfter = 4s;
-constexpr duration PartitionDeadAfter = 10min;
 /** Copy interval, tick, and two packets of a new flow. */
 constexpr duration CopyWindow = 700ms;
 
@@ -253,7 +252,8 @@
                     != view.suspectedPartitions.end();
             const duration silence = m_now - known.lastHeard;
             const duration sinceCut = m_now - self.cutOffAt[m_instances[other].domain];
-            if (silence > (suspected ? PartitionDeadAfter : DeadAfter) && sinceCut > DeadAfter) {
+            const bool graceOver = suspected || sinceCut > DeadAfter;
+            if (silence > (suspected ? m_options.partitionPatience : DeadAfter) && graceOver) {
                 each.state = member_state::Dead;
             } else if (silence > SuspectAfter && known.state == member_state::Ready) {
                 each.state = member_state::Suspect;
--- a/tests/connection/engine_driver.h
+++ b/tests/connection/engine_driver.h
@@ -33,6 +33,8 @@
     backup_placement placement = backup_placement::OtherDomain;
     std::size_t establishedCapacity = 30'000;
     std::size_t probationCapacity = 2'048;
+    /** After how long a silent domain is declared dead instead of cut off. */
+    duration partitionPatience = std::chrono::minutes{10};
 };
 
 /** What went wrong in a run; the invariants ask for zeros. */
