Keep expected signals out of the stand-ins' error output

ACE wrote "work_pending_i: Interrupted system call" to stderr whenever a stand-in was stopped by SIGTERM, which fills the demo's error output with messages about a normal stop.

--- a/packages/standins/event_loop.cpp
+++ b/packages/standins/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 
+#include <ace/Log_Msg.h>
 #include <ace/Time_Value.h>
 
 namespace ebonyway::standins {
@@ -24,6 +25,8 @@
 
 event_loop::event_loop()
 {
+    // ACE reports a wait that a signal interrupts as an error, but here that is a normal stop.
+    ACE_LOG_MSG->clr_flags(ACE_Log_Msg::STDERR);
     m_reactor.register_handler(SIGINT, this);
     m_reactor.register_handler(SIGTERM, this);
 }
