--- a/packages/ebonyway/operator_commands.h
+++ b/packages/ebonyway/operator_commands.h
@@ -68,6 +68,7 @@
     result<report> showStatus(const command_options &options);
     result<report> setInService(const command_options &options, bool inService);
     result<report> burn(const command_options &options);
+    status addOutcomes(const endpoint &instance, flow_outcome_log &outcomes);
 
     note_acceptance makeAcceptance();
     platform_notes makeNotes();
--- a/packages/process/control_core.h
+++ b/packages/process/control_core.h
@@ -113,6 +113,12 @@
     /** Returns whether this instance holds the lease for singleton work. */
     bool holdsLease(time_point now) const { return m_work.holdsLease(now); }
 
+    /**
+     * Returns about how many bytes the control state takes that grows with the members: their
+     * records, replay windows and reports. Notes are bounded by note_history.
+     */
+    std::size_t stateBytes() const;
+
     const control_counters &counters() const { return m_counters; }
     const membership &members() const { return m_membership; }
 
@@ -126,6 +132,7 @@
     void onGossip(const secure_datagram &datagram, const endpoint &from, time_point now);
     void onEngineMessage(secure_datagram &datagram);
     bool acceptSequence(const datagram_envelope &envelope);
+    void answerLowIncarnation(const secure_datagram &datagram, const endpoint &from);
     void countFault(datagram_fault fault);
     void sendOrders();
     void send(datagram_kind kind, const endpoint &to, instance_id recipient,
@@ -164,6 +171,7 @@
     bool m_isWatcher = false;
     bool m_isFirstWatcher = false; ///< Does what one instance per failure domain does.
     bool m_wasFresh = false;
+    int m_lowIncarnationAnswers = 0; ///< In this tick.
     note_number m_note; ///< In force, as reported by the daemon.
     note_digest m_digest{};
     note_number m_requiredNote; ///< Note of the peer that last confirmed the view.
--- a/packages/process/load_gossip.h
+++ b/packages/process/load_gossip.h
@@ -27,18 +27,25 @@
      */
     std::vector<load_report> merge(const gossip_message &message, std::size_t memberCount);
 
-    /** Adds summaries of at most the given encoded size. message.round must be set. */
+    /**
+     * Adds summaries of at most the given encoded size, changes of health first. message.round must
+     * be set.
+     */
     void fill(gossip_message &message, std::size_t budget);
 
     /** Forgets backend servers that are not in the list. */
     void keepOnly(const std::vector<backend_server_id> &backendServers);
 
+    /** Returns about how many bytes the reports take. */
+    std::size_t stateBytes() const;
+
 private:
     struct known_report
     {
         load_summary summary;
         std::uint64_t round = 0; ///< Round of the probe.
         std::uint8_t rumorsLeft = 0;
+        bool isUrgent = false; ///< Tells a change of health, which is sent before load changes.
     };
     struct told_report
     {
@@ -46,6 +53,7 @@
         std::uint64_t round = 0;
     };
 
+    static bool hasHealthChanged(const load_summary &before, const load_summary &after);
     static bool isWorthTelling(const load_summary &before, const load_summary &after);
 
     instance_id m_self;
--- a/tests/ebonyway/operator_session_test.cpp
+++ b/tests/ebonyway/operator_session_test.cpp
@@ -103,7 +103,7 @@
     outcomes.count({0}, flowOutcomeIndex(flow_outcome::Good), 9900, now - 1min);
     outcomes.count({0}, flowOutcomeIndex(flow_outcome::NoAnswer), 100, now - 1min);
     pages["127.0.0.1:9001/flow_outcomes"] = compactJson(outcomes.toJson());
-    run("burn --instance 127.0.0.1:9001 --svg burn.svg");
+    run("burn --instance 127.0.0.1:9001 --instance 127.0.0.1:9002 --svg burn.svg");
     CHECK(files["burn.svg"].rfind("<svg", 0) == 0);
     CHECK(matchesGoldenFile("ebonyway/golden/session.txt", transcript));
 }
