--- a/packages/process/edge/home_worker.h
+++ b/packages/process/edge/home_worker.h
@@ -53,7 +53,10 @@
     void updateCluster(const cluster_view &view);
     void deliverMessage(instance_id from, std::vector<std::byte> bytes);
     void deliverLoadReport(const load_report &report);
-    void publishView(std::shared_ptr<const traffic_view> view) { m_traffic.publishView(view); }
+    void publishView(const std::shared_ptr<const traffic_view> &view)
+    {
+        m_traffic.publishView(view);
+    }
 
     const traffic_counters &counters() const { return m_traffic.counters(); }
 
--- a/packages/process/edge/traffic_worker.cpp
+++ b/packages/process/edge/traffic_worker.cpp
@@ -62,11 +62,11 @@
 status traffic_worker::open()
 {
     // Several traffic threads bind the same ports, and the kernel spreads the packets over them.
-    const status fabricOpened = m_fabric.open(m_localFabric, true);
+    status fabricOpened = m_fabric.open(m_localFabric, true);
     if (!isOk(fabricOpened)) {
         return fabricOpened;
     }
-    const status answerOpened = m_answer.open(m_localAnswer, true);
+    status answerOpened = m_answer.open(m_localAnswer, true);
     if (!isOk(answerOpened)) {
         return answerOpened;
     }
--- a/packages/request/flow_key.h
+++ b/packages/request/flow_key.h
@@ -25,6 +25,7 @@
     std::uint16_t servicePort = 0;
     transport_protocol protocol = transport_protocol::Tcp;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 mistakes the comparison with 0.
     auto operator<=>(const flow_key &) const = default;
 };
 
