--- a/tests/connection/engine_driver.cpp
+++ b/tests/connection/engine_driver.cpp
@@ -547,6 +547,26 @@
         return;
     }
     toInstance(*index, [=, this] { answerAt(*index, server, flow, kind, sequence, {}); });
+    if (m_options.crossedAnswers > 0 && m_random.unit() < m_options.crossedAnswers) {
+        answerCrossed(server, flow, kind, sequence);
+    }
+}
+
+void engine_driver::answerCrossed(backend_server_id server, std::size_t flow, packet_kind kind,
+                                  int sequence)
+{
+    const std::optional<std::size_t> index = sprayTarget();
+    const service_id service = m_flows[flow].service;
+    for (const backend_server &other : m_plan->currentIntent().backendServers) {
+        if (!index || other.service != service || other.id == server
+            || m_flows[flow].touched.contains(other.id)) {
+            continue;
+        }
+        ++counts.crossedSent;
+        const backend_server_id sender = other.id;
+        toInstance(*index, [=, this] { answerAt(*index, sender, flow, kind, sequence, {}); });
+        return;
+    }
 }
 
 void engine_driver::answerAt(std::size_t index, backend_server_id server, std::size_t flow,
@@ -597,6 +617,10 @@
     if (flow.spoofed || flow.state == flow_state::Ended) {
         return;
     }
+    if (!flow.touched.contains(server)) {
+        ++counts.crossedAccepted;
+        return;
+    }
     if (kind == packet_kind::TcpRst) {
         if (flow.state == flow_state::Established) {
             onReset(flow);
--- a/tests/connection/engine_driver.h
+++ b/tests/connection/engine_driver.h
@@ -29,6 +29,8 @@
     std::size_t servers = 14;
     double messageLoss = 0.01;
     double packetLoss = 0.0;
+    /** Share of answers that another server of the service sends as well, as if by mistake. */
+    double crossedAnswers = 0.0;
     duration idleTimeout = std::chrono::seconds{20};
     backup_placement placement = backup_placement::OtherDomain;
     std::size_t establishedCapacity = 30'000;
@@ -55,6 +57,8 @@
     int latePackets = 0; ///< Packets into a domain out of service after 3 s.
     int refusedButSeen = 0;
     int repeatedRuns = 0;
+    int crossedSent = 0; ///< Answers of servers that never saw the flow.
+    int crossedAccepted = 0; ///< Those that reached a caller.
     std::uint64_t messageBytes = 0;
     std::uint64_t messages = 0;
     std::uint64_t relayed = 0;
@@ -199,6 +203,7 @@
     void atServer(backend_server_id server, std::size_t flow, packet_kind kind, int sequence);
     void checkServerPacket(backend_server_id server, const caller_flow &flow, packet_kind kind);
     void answer(backend_server_id server, std::size_t flow, packet_kind kind, int sequence);
+    void answerCrossed(backend_server_id server, std::size_t flow, packet_kind kind, int sequence);
     void answerAt(std::size_t index, backend_server_id server, std::size_t flow, packet_kind kind,
                   int sequence, packet_origin origin);
     void atCaller(backend_server_id server, std::size_t flow, packet_kind kind, int sequence);
--- a/tests/connection/flow_engine_scenario_test.cpp
+++ b/tests/connection/flow_engine_scenario_test.cpp
@@ -47,10 +47,11 @@
 };
 
 /** Number of flows that a planned drain breaks with the given strategy. */
-driver_counts runDrain(strategy_kind strategy, std::uint64_t seed)
+driver_counts runDrain(strategy_kind strategy, std::uint64_t seed, double crossedAnswers = 0)
 {
     driver_options options;
     options.seed = seed;
+    options.crossedAnswers = crossedAnswers;
     options.strategy = strategy;
     engine_driver driver(options);
     scenario_fixture::startTraffic(driver, 60s);
@@ -98,6 +99,22 @@
     }
 }
 
+TEST_CASE_FIXTURE(scenario_fixture, "flow engine, crossed answers during a drain, reach no caller")
+{
+    // Guards against a caller that gets an answer of a server that never saw its flow.
+    for (const std::uint64_t seed : {1, 2}) {
+        const driver_counts engine = runDrain(strategy_kind::Engine, seed, 0.2);
+        const driver_counts table = runDrain(strategy_kind::Table, seed, 0.2);
+        MESSAGE("seed ", seed, ": crossed answers that reached a caller: flow engine ",
+                engine.crossedAccepted, " of ", engine.crossedSent, ", table ",
+                table.crossedAccepted, " of ", table.crossedSent);
+        CHECK(engine.crossedSent > 1000);
+        CHECK(engine.crossedAccepted == 0);
+        CHECK(engine.broken == 0);
+        CHECK(table.crossedAccepted > 0);
+    }
+}
+
 TEST_CASE_FIXTURE(scenario_fixture, "flow engine, backend server added, breaks no flow")
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
