--- a/packages/connection/cluster_view.h
+++ b/packages/connection/cluster_view.h
@@ -17,6 +17,9 @@
     Dead, ///< Kept as a tombstone so that succession lists stay stable.
 };
 
+/** Returns the stable lower-case name of a state, as used in status pages. */
+const char *memberStateName(member_state state);
+
 /** What one instance knows about one member, including itself. */
 struct member
 {
--- a/packages/connection/flow_engine.h
+++ b/packages/connection/flow_engine.h
@@ -61,7 +61,7 @@
 /**
  * The product's routing strategy: slot homes, transitions between targets and tracked flows, as
  * described in section 5 of docs/design.md. Pure: takes packets, messages and times and returns
- * decisions and messages. All functions belong to the control thread; traffic threads use
+ * decisions and messages. All functions belong to one traffic thread; the others use
  * published settled_route objects.
  */
 class flow_engine
--- a/packages/connection/settled_route.h
+++ b/packages/connection/settled_route.h
@@ -16,7 +16,7 @@
 /**
  * Immutable picture of what an instance may decide without flow state. Traffic threads share one
  * published copy: decisions take no lock and allocate nothing. A packet that it cannot decide goes
- * to flow_engine on the control thread.
+ * to the flow engine on its own thread.
  */
 class settled_route
 {
@@ -46,11 +46,11 @@
     /** The set must outlive this object and its copies. */
     settled_route(const keyed_hash &hash, udp_seen_set &seenUdp);
 
-    /** Decides a packet to a service, or returns nothing if the control thread must. */
+    /** Decides a packet to a service, or returns nothing if the flow engine must. */
     std::optional<route_decision> decide(const packet_view &packet, const packet_origin &origin,
                                          time_point now) const;
 
-    /** Judges a packet from a backend server, or returns nothing if the control thread must. */
+    /** Judges a packet from a backend server, or returns nothing if the flow engine must. */
     std::optional<answer_decision> checkAnswer(const packet_view &packet, backend_server_id sender,
                                                const packet_origin &origin, time_point now) const;
 
@@ -60,7 +60,7 @@
     void setHomes(std::vector<home_entry> homes) { m_homes = std::move(homes); }
     /** Sets which backend servers may receive packets, indexed by id. */
     void setUsableServers(std::vector<std::uint8_t> usable) { m_usable = std::move(usable); }
-    /** Nothing is decided after this time, so that a stalled control thread stops direct routing.
+    /** Nothing is decided after this time, so that a stalled flow engine stops direct routing.
      */
     void setValidUntil(time_point time) { m_validUntil = time; }
 
--- a/packages/connection/udp_seen_set.h
+++ b/packages/connection/udp_seen_set.h
@@ -14,7 +14,7 @@
  * from these sets which flows are old. In a full bucket a flow seen only once is replaced before
  * one seen repeatedly, so that spoofed single packets do not displace live flows.
  *
- * Traffic threads may call record() at the same time as the control thread reads: a lost update
+ * Traffic threads may call record() at the same time as the flow engine reads: a lost update
  * only delays a flow's time by one packet.
  */
 class udp_seen_set
--- a/packages/process/edge/reactor_thread.cpp
+++ b/packages/process/edge/reactor_thread.cpp
@@ -6,6 +6,8 @@
 #include <ace/Thread.h>
 #include <ace/Time_Value.h>
 
+#include "process/edge/ace_time.h"
+
 namespace ebonyway {
 
 namespace {
@@ -13,13 +15,6 @@
 // The loop wakes up this often to see a stop request even if a notification was lost.
 const ACE_Time_Value LoopTimeout(0, 200'000);
 
-ACE_Time_Value toAceTime(duration interval)
-{
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(interval).count();
-    return ACE_Time_Value(static_cast<time_t>(micros / 1'000'000),
-                          static_cast<suseconds_t>(micros % 1'000'000));
-}
-
 } // namespace
 
 reactor_thread::reactor_thread()
--- a/packages/process/edge/status_pages.cpp
+++ b/packages/process/edge/status_pages.cpp
@@ -15,23 +15,6 @@
 
 namespace {
 
-const char *stateName(member_state state)
-{
-    switch (state) {
-    case member_state::Joining:
-        return "joining";
-    case member_state::Ready:
-        return "ready";
-    case member_state::Leaving:
-        return "leaving";
-    case member_state::Suspect:
-        return "suspect";
-    case member_state::Dead:
-        return "dead";
-    }
-    return "unknown";
-}
-
 /** Returns the name that the member announces; the intent may not be known yet. */
 std::string domainName(const instance_summary &summary, instance_id id)
 {
@@ -46,7 +29,7 @@
         Json::Value item;
         item["instance"] = known.id.value;
         item["failure_domain"] = domainName(summary, known.id);
-        item["state"] = stateName(known.state);
+        item["state"] = memberStateName(known.state);
         item["note"] = Json::UInt64(known.adoptedNote.value);
         members.append(item);
     }
--- a/packages/process/edge/sync_connection.cpp
+++ b/packages/process/edge/sync_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <ace/SOCK_Connector.h>
 
+#include "process/edge/ace_time.h"
 #include "process/edge/socket_address.h"
 #include "process/sync_message.h"
 #include "request/byte_order.h"
@@ -22,13 +23,6 @@
 const ACE_Time_Value AcceptPoll(0, 200'000);
 const ACE_Time_Value ServeTimeout(2, 0);
 
-ACE_Time_Value toAceTime(duration limit)
-{
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(limit).count();
-    return ACE_Time_Value(static_cast<time_t>(micros / 1'000'000),
-                          static_cast<suseconds_t>(micros % 1'000'000));
-}
-
 bool sendFrame(ACE_SOCK_Stream &stream, std::span<const std::byte> bytes,
                const ACE_Time_Value &timeout)
 {
--- a/packages/process/singleton_work.cpp
+++ b/packages/process/singleton_work.cpp
@@ -26,29 +26,12 @@
     return std::string(SnapshotPrefix) + digits;
 }
 
-const char *stateName(member_state state)
-{
-    switch (state) {
-    case member_state::Joining:
-        return "joining";
-    case member_state::Ready:
-        return "ready";
-    case member_state::Leaving:
-        return "leaving";
-    case member_state::Suspect:
-        return "suspect";
-    case member_state::Dead:
-        break;
-    }
-    return "dead";
-}
-
 std::map<std::string, std::string> statusByDomain(const membership &members)
 {
     std::map<std::string, Json::Value> domains;
     for (const member_record &record : members.members()) {
         Json::Value &status = domains[record.details.profile.failureDomain];
-        Json::Value &count = status["members"][stateName(record.state)];
+        Json::Value &count = status["members"][memberStateName(record.state)];
         count = count.asUInt() + 1;
         if (record.state == member_state::Dead) {
             continue;
