--- a/benchmarks/control_benchmark.cpp
+++ b/benchmarks/control_benchmark.cpp
@@ -1,10 +1,10 @@
+#include "process/control_core.h"
+
 #include <benchmark/benchmark.h>
 
 #include <map>
 #include <memory>
 
-#include "process/control_core.h"
-
 namespace ebonyway {
 
 namespace {
--- a/benchmarks/flow_engine_benchmark.cpp
+++ b/benchmarks/flow_engine_benchmark.cpp
@@ -1,3 +1,10 @@
+#include "connection/admission_policy.h"
+#include "connection/flow_engine.h"
+#include "core/seeded_random.h"
+#include "version/route_plan.h"
+
+#include <benchmark/benchmark.h>
+
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
@@ -5,13 +12,6 @@
 #include <cstring>
 #include <new>
 
-#include <benchmark/benchmark.h>
-
-#include "connection/admission_policy.h"
-#include "connection/flow_engine.h"
-#include "core/seeded_random.h"
-#include "version/route_plan.h"
-
 namespace {
 
 std::atomic<std::uint64_t> allocationCount{0};
--- a/benchmarks/route_plan_benchmark.cpp
+++ b/benchmarks/route_plan_benchmark.cpp
@@ -1,8 +1,8 @@
-#include <benchmark/benchmark.h>
-
 #include "../tests/version/intent_samples.h"
 #include "version/route_plan.h"
 
+#include <benchmark/benchmark.h>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/admission_policy.h
+++ b/packages/connection/admission_policy.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <cstdint>
-
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstdint>
+
 namespace ebonyway {
 
 struct intent;
--- a/packages/connection/answer_decision.h
+++ b/packages/connection/answer_decision.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <variant>
-
 #include "connection/routing_strategy.h"
 
+#include <variant>
+
 namespace ebonyway {
 
 /** Send the answer to the caller through the fabric. */
--- a/packages/connection/capacity_admission.cpp
+++ b/packages/connection/capacity_admission.cpp
@@ -1,9 +1,9 @@
 #include "connection/capacity_admission.h"
 
-#include <algorithm>
-
 #include "version/intent.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/capacity_admission.h
+++ b/packages/connection/capacity_admission.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <unordered_map>
-#include <vector>
-
 #include "connection/admission_policy.h"
 #include "connection/cold_start_ramp.h"
 #include "connection/health_judge.h"
@@ -11,6 +7,10 @@
 #include "connection/offer_window.h"
 #include "connection/service_load.h"
 
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
 namespace ebonyway {
 
 /** Parameters that operators may set. */
--- a/packages/connection/cluster_view.h
+++ b/packages/connection/cluster_view.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <cstdint>
-#include <vector>
-
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstdint>
+#include <vector>
+
 namespace ebonyway {
 
 /** State of an instance as the membership protocol sees it. */
--- a/packages/connection/cold_start_ramp.h
+++ b/packages/connection/cold_start_ramp.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <cstdint>
-
 #include "core/time.h"
 
+#include <cstdint>
+
 namespace ebonyway {
 
 /**
--- a/packages/connection/engine_message.cpp
+++ b/packages/connection/engine_message.cpp
@@ -1,10 +1,10 @@
 #include "connection/engine_message.h"
 
+#include <cereal/archives/portable_binary.hpp>
+
 #include <sstream>
 #include <streambuf>
 
-#include <cereal/archives/portable_binary.hpp>
-
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/engine_message.h
+++ b/packages/connection/engine_message.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "connection/cluster_view.h"
+#include "connection/slot_home.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -8,9 +11,6 @@
 #include <variant>
 #include <vector>
 
-#include "connection/cluster_view.h"
-#include "connection/slot_home.h"
-
 namespace ebonyway {
 
 /** Most items in one list of a record; longer lists are split. */
--- a/packages/connection/flow_copier.cpp
+++ b/packages/connection/flow_copier.cpp
@@ -1,9 +1,9 @@
 #include "connection/flow_copier.h"
 
-#include <algorithm>
-
 #include "connection/peer_exchange.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/flow_copier.h
+++ b/packages/connection/flow_copier.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "connection/home_store.h"
+
 #include <map>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
 
-#include "connection/home_store.h"
-
 namespace ebonyway {
 
 class peer_exchange;
--- a/packages/connection/flow_engine.cpp
+++ b/packages/connection/flow_engine.cpp
@@ -1,11 +1,11 @@
 #include "connection/flow_engine.h"
 
-#include <algorithm>
-#include <cmath>
-
 #include "connection/admission_policy.h"
 #include "version/route_plan.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/flow_engine.h
+++ b/packages/connection/flow_engine.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <functional>
-#include <map>
-#include <set>
-
 #include "connection/answer_decision.h"
 #include "connection/flow_copier.h"
 #include "connection/freshness.h"
@@ -18,6 +14,10 @@
 #include "connection/udp_reporter.h"
 #include "connection/udp_seen_set.h"
 
+#include <functional>
+#include <map>
+#include <set>
+
 namespace ebonyway {
 
 class admission_policy;
--- a/packages/connection/flow_engine_records.cpp
+++ b/packages/connection/flow_engine_records.cpp
@@ -1,8 +1,8 @@
-#include <algorithm>
-
 #include "connection/flow_engine.h"
 #include "version/route_plan.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 void flow_engine::onMessage(instance_id from, std::span<const std::byte> bytes, time_point now)
--- a/packages/connection/flow_engine_slots.cpp
+++ b/packages/connection/flow_engine_slots.cpp
@@ -1,9 +1,9 @@
-#include <algorithm>
-
 #include "connection/admission_policy.h"
 #include "connection/flow_engine.h"
 #include "version/route_plan.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/freshness.h
+++ b/packages/connection/freshness.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <optional>
-
 #include "connection/cluster_view.h"
 
+#include <optional>
+
 namespace ebonyway {
 
 /** Returns whether a newer heartbeat of the member was learned within the limit. */
--- a/packages/connection/health_judge.h
+++ b/packages/connection/health_judge.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-
 #include "connection/admission_policy.h"
 #include "connection/recent_sum.h"
 #include "core/time.h"
 
+#include <cstdint>
+#include <optional>
+
 namespace ebonyway {
 
 /** What a load report says beyond the numbers in it. */
--- a/packages/connection/home_assignment.h
+++ b/packages/connection/home_assignment.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "connection/cluster_view.h"
+#include "core/keyed_hash.h"
+
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
 
-#include "connection/cluster_view.h"
-#include "core/keyed_hash.h"
-
 namespace ebonyway {
 
 /** How a member takes part in the choice of homes. */
--- a/packages/connection/home_store.h
+++ b/packages/connection/home_store.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "connection/slot_home.h"
+#include "connection/tracked_flow_table.h"
+
 #include <map>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
-#include "connection/slot_home.h"
-#include "connection/tracked_flow_table.h"
-
 namespace ebonyway {
 
 /** What becomes of flows whose tracking ends. */
--- a/packages/connection/load_estimate.h
+++ b/packages/connection/load_estimate.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-
 #include "connection/recent_sum.h"
 #include "core/time.h"
 
+#include <cstdint>
+#include <optional>
+
 namespace ebonyway {
 
 /**
--- a/packages/connection/offer_window.h
+++ b/packages/connection/offer_window.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "core/time.h"
+
 #include <cstdint>
 #include <deque>
 
-#include "core/time.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/connection/partition_signal.h
+++ b/packages/connection/partition_signal.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <deque>
-#include <unordered_map>
-
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <deque>
+#include <unordered_map>
+
 namespace ebonyway {
 
 /**
--- a/packages/connection/peer_channel.h
+++ b/packages/connection/peer_channel.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "connection/engine_message.h"
+
 #include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "connection/engine_message.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/connection/peer_exchange.h
+++ b/packages/connection/peer_exchange.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "connection/peer_channel.h"
+
 #include <map>
 #include <vector>
 
-#include "connection/peer_channel.h"
-
 namespace ebonyway {
 
 /** A datagram for a peer's engine. */
--- a/packages/connection/recent_sum.h
+++ b/packages/connection/recent_sum.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "core/time.h"
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
 
-#include "core/time.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/connection/routing_strategy.h
+++ b/packages/connection/routing_strategy.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <cstdint>
-#include <memory>
-#include <variant>
-
 #include "core/ids.h"
 #include "core/time.h"
 #include "request/packet.h"
 
+#include <cstdint>
+#include <memory>
+#include <variant>
+
 namespace ebonyway {
 
 class route_plan;
--- a/packages/connection/service_lookup.cpp
+++ b/packages/connection/service_lookup.cpp
@@ -1,9 +1,9 @@
 #include "connection/service_lookup.h"
 
-#include <bit>
-
 #include "version/intent.h"
 
+#include <bit>
+
 namespace ebonyway {
 
 service_lookup::service_lookup(const intent &current)
--- a/packages/connection/service_lookup.h
+++ b/packages/connection/service_lookup.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "request/flow_key.h"
+
 #include <array>
 #include <cstdint>
 #include <cstring>
 #include <optional>
 #include <vector>
 
-#include "request/flow_key.h"
-
 namespace ebonyway {
 
 struct intent;
--- a/packages/connection/settled_route.h
+++ b/packages/connection/settled_route.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "connection/answer_decision.h"
+#include "connection/service_lookup.h"
+#include "core/keyed_hash.h"
+
 #include <memory>
 #include <optional>
 #include <span>
 #include <vector>
 
-#include "connection/answer_decision.h"
-#include "connection/service_lookup.h"
-#include "core/keyed_hash.h"
-
 namespace ebonyway {
 
 class udp_seen_set;
--- a/packages/connection/slot_home.h
+++ b/packages/connection/slot_home.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "connection/slot_mark.h"
+#include "core/time.h"
+
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "connection/slot_mark.h"
-#include "core/time.h"
-
 namespace ebonyway {
 
 /** Progress of a slot from one agreed target to the next. */
--- a/packages/connection/slot_mark.h
+++ b/packages/connection/slot_mark.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "core/ids.h"
+
 #include <compare>
 #include <cstdint>
 
-#include "core/ids.h"
-
 namespace ebonyway {
 
 /** Agreed state of a slot. Marks are ordered lexicographically; the greater mark is the newer one.
--- a/packages/connection/slot_marks.h
+++ b/packages/connection/slot_marks.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "connection/slot_mark.h"
+
 #include <optional>
 #include <unordered_map>
 
-#include "connection/slot_mark.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/connection/sync_round.cpp
+++ b/packages/connection/sync_round.cpp
@@ -1,10 +1,10 @@
 #include "connection/sync_round.h"
 
+#include "connection/freshness.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "connection/freshness.h"
-
 namespace ebonyway {
 
 std::uint32_t sync_round::begin(time_point now)
--- a/packages/connection/sync_round.h
+++ b/packages/connection/sync_round.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <map>
-#include <set>
-
 #include "connection/cluster_view.h"
 #include "connection/engine_message.h"
 
+#include <map>
+#include <set>
+
 namespace ebonyway {
 
 /**
--- a/packages/connection/tracked_flow_table.h
+++ b/packages/connection/tracked_flow_table.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <cstdint>
-#include <vector>
-
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstdint>
+#include <vector>
+
 namespace ebonyway {
 
 /** Time as stored per flow, in units of 0.1 s of the monotonic clock. */
--- a/packages/connection/udp_reporter.cpp
+++ b/packages/connection/udp_reporter.cpp
@@ -1,11 +1,11 @@
 #include "connection/udp_reporter.h"
 
-#include <algorithm>
-
 #include "connection/peer_exchange.h"
 #include "connection/udp_seen_set.h"
 #include "version/route_plan.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/connection/udp_reporter.h
+++ b/packages/connection/udp_reporter.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "connection/engine_message.h"
+
 #include <deque>
 #include <vector>
 
-#include "connection/engine_message.h"
-
 namespace ebonyway {
 
 class peer_exchange;
--- a/packages/connection/udp_seen_set.h
+++ b/packages/connection/udp_seen_set.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "connection/tracked_flow_table.h"
+
 #include <atomic>
 #include <cstdint>
 #include <memory>
 #include <vector>
 
-#include "connection/tracked_flow_table.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/core/ip_address.cpp
+++ b/packages/core/ip_address.cpp
@@ -1,10 +1,10 @@
 #include "core/ip_address.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <charconv>
 
-#include <arpa/inet.h>
-
 namespace ebonyway {
 
 namespace {
--- a/packages/core/ip_address.h
+++ b/packages/core/ip_address.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/result.h"
+
 #include <array>
 #include <compare>
 #include <cstdint>
 #include <string>
 
-#include "core/result.h"
-
 namespace ebonyway {
 
 /** IPv4 or IPv6 address. IPv4 addresses are held in the IPv4-mapped form ::ffff:a.b.c.d. */
--- a/packages/core/keyed_hash.cpp
+++ b/packages/core/keyed_hash.cpp
@@ -1,9 +1,9 @@
 #include "core/keyed_hash.h"
 
-#include <array>
-
 #include <xxhash.h>
 
+#include <array>
+
 namespace ebonyway {
 
 keyed_hash::keyed_hash(std::span<const std::byte> deploymentKey)
--- a/packages/core/result.h
+++ b/packages/core/result.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <variant>
-
 #include "core/error.h"
 
+#include <variant>
+
 namespace ebonyway {
 
 /** Either a value or the error that prevented it. */
--- a/packages/ebonyway/command_options.cpp
+++ b/packages/ebonyway/command_options.cpp
@@ -1,11 +1,11 @@
 #include "ebonyway/command_options.h"
 
+#include <popt.h>
+
 #include <array>
 #include <cstdlib>
 #include <memory>
 
-#include <popt.h>
-
 namespace ebonyway {
 
 namespace {
--- a/packages/ebonyway/command_options.h
+++ b/packages/ebonyway/command_options.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "core/ip_address.h"
-#include "core/result.h"
-
 namespace ebonyway {
 
 /** What the operators' command is asked to do. */
--- a/packages/ebonyway/main.cpp
+++ b/packages/ebonyway/main.cpp
@@ -1,3 +1,7 @@
+#include "ebonyway/command_options.h"
+#include "ebonyway/operator_commands.h"
+#include "process/edge/http_platform_store.h"
+
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -6,10 +10,6 @@
 #include <sstream>
 #include <thread>
 
-#include "ebonyway/command_options.h"
-#include "ebonyway/operator_commands.h"
-#include "process/edge/http_platform_store.h"
-
 namespace ebonyway {
 
 namespace {
--- a/packages/ebonyway/operator_commands.cpp
+++ b/packages/ebonyway/operator_commands.cpp
@@ -1,14 +1,14 @@
 #include "ebonyway/operator_commands.h"
 
-#include <algorithm>
-#include <optional>
-
 #include "process/burn_report.h"
 #include "version/json_text.h"
 #include "version/release_note.h"
 #include "version/route_plan.h"
 #include "version/text_table.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/ebonyway/operator_commands.h
+++ b/packages/ebonyway/operator_commands.h
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <functional>
-#include <string>
-
-#include <json/value.h>
-
 #include "core/ip_address.h"
 #include "core/result.h"
 #include "ebonyway/command_options.h"
@@ -14,6 +8,12 @@
 #include "version/platform_store.h"
 #include "version/retry_budget.h"
 
+#include <json/value.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
 namespace ebonyway {
 
 class route_plan;
--- a/packages/ebonywayd/main.cpp
+++ b/packages/ebonywayd/main.cpp
@@ -1,15 +1,15 @@
-#include <csignal>
-#include <cstdio>
-#include <memory>
-#include <string>
-
-#include <popt.h>
-
 #include "core/precondition.h"
 #include "process/edge/instance_daemon.h"
 #include "process/event_log.h"
 #include "process/settings.h"
 
+#include <popt.h>
+
+#include <csignal>
+#include <cstdio>
+#include <memory>
+#include <string>
+
 namespace {
 
 constexpr int ExitOk = 0;
--- a/packages/process/bounded_archive.h
+++ b/packages/process/bounded_archive.h
@@ -1,5 +1,12 @@
 #pragma once
 
+#include <cereal/cereal.hpp>
+#include <cereal/types/array.hpp>
+#include <cereal/types/common.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -10,13 +17,6 @@
 #include <type_traits>
 #include <vector>
 
-#include <cereal/cereal.hpp>
-#include <cereal/types/array.hpp>
-#include <cereal/types/common.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/variant.hpp>
-#include <cereal/types/vector.hpp>
-
 namespace ebonyway {
 
 /** Thrown by bounded_reader only; decodeBounded() turns it into an empty result. */
--- a/packages/process/burn_report.cpp
+++ b/packages/process/burn_report.cpp
@@ -1,12 +1,12 @@
 #include "process/burn_report.h"
 
-#include <algorithm>
-
 #include "version/duration_text.h"
 #include "version/intent.h"
 #include "version/number_text.h"
 #include "version/text_table.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/burn_report.h
+++ b/packages/process/burn_report.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "process/flow_outcome_log.h"
+
+#include <json/value.h>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include <json/value.h>
-
-#include "process/flow_outcome_log.h"
-
 namespace ebonyway {
 
 struct intent;
--- a/packages/process/burn_svg.cpp
+++ b/packages/process/burn_svg.cpp
@@ -1,9 +1,9 @@
-#include <algorithm>
-
 #include "process/burn_report.h"
 #include "version/duration_text.h"
 #include "version/number_text.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/control_action.h
+++ b/packages/process/control_action.h
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <cstddef>
-#include <cstdint>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "connection/admission_policy.h"
 #include "connection/cluster_view.h"
 #include "core/ip_address.h"
@@ -14,6 +8,12 @@
 #include "process/platform_request.h"
 #include "version/intent.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
 namespace ebonyway {
 
 /** Send the bytes as one UDP datagram from the gossip port. */
--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -1,12 +1,12 @@
 #include "process/control_core.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "process/bounded_archive.h"
 #include "process/overloaded.h"
 #include "version/intent.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/control_core.h
+++ b/packages/process/control_core.h
@@ -1,12 +1,5 @@
 #pragma once
 
-#include <array>
-#include <cstdint>
-#include <span>
-#include <string>
-#include <unordered_map>
-#include <vector>
-
 #include "core/keyed_hash.h"
 #include "process/control_action.h"
 #include "process/intent_sync.h"
@@ -16,6 +9,13 @@
 #include "process/singleton_work.h"
 #include "process/sync_message.h"
 
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
 namespace ebonyway {
 
 struct intent;
--- a/packages/process/edge/ace_time.h
+++ b/packages/process/edge/ace_time.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <chrono>
+#include "core/time.h"
 
 #include <ace/Time_Value.h>
 
-#include "core/time.h"
+#include <chrono>
 
 namespace ebonyway {
 
--- a/packages/process/edge/datagram_socket.cpp
+++ b/packages/process/edge/datagram_socket.cpp
@@ -1,13 +1,13 @@
 #include "process/edge/datagram_socket.h"
 
-#include <array>
-#include <cerrno>
-#include <cstring>
+#include "process/edge/socket_address.h"
 
 #include <ace/Reactor.h>
 #include <sys/socket.h>
 
-#include "process/edge/socket_address.h"
+#include <array>
+#include <cerrno>
+#include <cstring>
 
 namespace ebonyway {
 
--- a/packages/process/edge/datagram_socket.h
+++ b/packages/process/edge/datagram_socket.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <cstddef>
-#include <span>
+#include "core/ip_address.h"
+#include "core/result.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Dgram.h>
 
-#include "core/ip_address.h"
-#include "core/result.h"
+#include <cstddef>
+#include <span>
 
 class ACE_Reactor;
 
--- a/packages/process/edge/health_prober.cpp
+++ b/packages/process/edge/health_prober.cpp
@@ -1,12 +1,12 @@
 #include "process/edge/health_prober.h"
 
-#include <memory>
-#include <utility>
+#include "process/edge/http_platform_store.h"
+#include "version/route_plan.h"
 
 #include <json/reader.h>
 
-#include "process/edge/http_platform_store.h"
-#include "version/route_plan.h"
+#include <memory>
+#include <utility>
 
 namespace ebonyway {
 
--- a/packages/process/edge/health_prober.h
+++ b/packages/process/edge/health_prober.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <functional>
-#include <memory>
-#include <set>
-#include <vector>
-
 #include "connection/admission_policy.h"
 #include "core/ip_address.h"
 #include "core/time.h"
 #include "process/edge/call_worker.h"
 
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
 namespace ebonyway {
 
 class route_plan;
--- a/packages/process/edge/home_worker.cpp
+++ b/packages/process/edge/home_worker.cpp
@@ -1,10 +1,10 @@
 #include "process/edge/home_worker.h"
 
-#include <utility>
-
 #include "process/settings.h"
 #include "version/route_plan.h"
 
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/home_worker.h
+++ b/packages/process/edge/home_worker.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <memory>
-#include <vector>
-
 #include "connection/capacity_admission.h"
 #include "connection/flow_engine.h"
 #include "process/edge/packet_decider.h"
 #include "process/edge/traffic_worker.h"
 
+#include <memory>
+#include <vector>
+
 namespace ebonyway {
 
 /** State of the flow engine as the control thread sees it, copied once per tick. */
--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -1,11 +1,11 @@
 #include "process/edge/http_platform_store.h"
 
-#include <memory>
-#include <optional>
+#include "version/json_text.h"
 
 #include <httplib.h>
 
-#include "version/json_text.h"
+#include <memory>
+#include <optional>
 
 namespace ebonyway {
 
--- a/packages/process/edge/http_platform_store.h
+++ b/packages/process/edge/http_platform_store.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <mutex>
-#include <set>
-
 #include "core/ip_address.h"
 #include "version/platform_store.h"
 
+#include <mutex>
+#include <set>
+
 namespace httplib {
 class Client;
 }
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -1,15 +1,15 @@
 #include "process/edge/instance_daemon.h"
 
-#include <future>
-#include <utility>
-
-#include <json/writer.h>
-
 #include "process/burn_report.h"
 #include "process/edge/platform_adapter.h"
 #include "process/edge/status_pages.h"
 #include "version/route_plan.h"
 
+#include <json/writer.h>
+
+#include <future>
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/instance_daemon.h
+++ b/packages/process/edge/instance_daemon.h
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <atomic>
-#include <deque>
-#include <memory>
-#include <optional>
-#include <vector>
-
 #include "process/control_core.h"
 #include "process/edge/call_worker.h"
 #include "process/edge/datagram_socket.h"
@@ -23,6 +17,12 @@
 #include "process/settings.h"
 #include "version/intent_log.h"
 
+#include <atomic>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
 namespace ebonyway {
 
 /**
--- a/packages/process/edge/outcome_collector.cpp
+++ b/packages/process/edge/outcome_collector.cpp
@@ -1,11 +1,11 @@
 #include "process/edge/outcome_collector.h"
 
-#include <algorithm>
-#include <cmath>
-
 #include "process/edge/traffic_counters.h"
 #include "version/intent.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/outcome_collector.h
+++ b/packages/process/edge/outcome_collector.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <map>
-#include <vector>
-
 #include "core/time.h"
 #include "process/flow_outcome_log.h"
 
+#include <map>
+#include <vector>
+
 namespace ebonyway {
 
 class traffic_counters;
--- a/packages/process/edge/plan_snapshots.cpp
+++ b/packages/process/edge/plan_snapshots.cpp
@@ -1,10 +1,10 @@
 #include "process/edge/plan_snapshots.h"
 
-#include <utility>
-
 #include "version/route_plan.h"
 #include "version/snapshot.h"
 
+#include <utility>
+
 namespace ebonyway {
 
 plan_snapshots::plan_snapshots(const intent_log &log)
--- a/packages/process/edge/reactor_thread.cpp
+++ b/packages/process/edge/reactor_thread.cpp
@@ -1,12 +1,12 @@
 #include "process/edge/reactor_thread.h"
 
-#include <utility>
+#include "process/edge/ace_time.h"
 
 #include <ace/Select_Reactor.h>
 #include <ace/Thread.h>
 #include <ace/Time_Value.h>
 
-#include "process/edge/ace_time.h"
+#include <utility>
 
 namespace ebonyway {
 
--- a/packages/process/edge/reactor_thread.h
+++ b/packages/process/edge/reactor_thread.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "core/time.h"
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+
 #include <atomic>
 #include <functional>
 #include <mutex>
 #include <thread>
 #include <vector>
 
-#include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
-
-#include "core/time.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/process/edge/socket_address.cpp
+++ b/packages/process/edge/socket_address.cpp
@@ -1,9 +1,9 @@
 #include "process/edge/socket_address.h"
 
-#include <algorithm>
-
 #include <netinet/in.h>
 
+#include <algorithm>
+
 namespace ebonyway {
 
 ACE_INET_Addr toAceAddress(const endpoint &from)
--- a/packages/process/edge/socket_address.h
+++ b/packages/process/edge/socket_address.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <ace/INET_Addr.h>
-
 #include "core/ip_address.h"
 
+#include <ace/INET_Addr.h>
+
 namespace ebonyway {
 
 /** Converts an endpoint to ACE's address type. */
--- a/packages/process/edge/status_pages.cpp
+++ b/packages/process/edge/status_pages.cpp
@@ -1,8 +1,5 @@
 #include "process/edge/status_pages.h"
 
-#include <json/value.h>
-#include <json/writer.h>
-
 #include "process/control_core.h"
 #include "process/edge/home_worker.h"
 #include "process/edge/traffic_counters.h"
@@ -11,6 +8,9 @@
 #include "version/release_note.h"
 #include "version/route_plan.h"
 
+#include <json/value.h>
+#include <json/writer.h>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/status_pages.h
+++ b/packages/process/edge/status_pages.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <vector>
-
 #include "connection/cluster_view.h"
 #include "core/time.h"
 
+#include <string>
+#include <vector>
+
 namespace ebonyway {
 
 class control_core;
--- a/packages/process/edge/status_server.cpp
+++ b/packages/process/edge/status_server.cpp
@@ -1,9 +1,9 @@
 #include "process/edge/status_server.h"
 
-#include <utility>
-
 #include <httplib.h>
 
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/status_server.h
+++ b/packages/process/edge/status_server.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -7,9 +10,6 @@
 #include <string>
 #include <thread>
 
-#include "core/ip_address.h"
-#include "core/result.h"
-
 namespace httplib {
 class Server;
 }
--- a/packages/process/edge/sync_connection.cpp
+++ b/packages/process/edge/sync_connection.cpp
@@ -1,15 +1,15 @@
 #include "process/edge/sync_connection.h"
 
-#include <array>
-#include <utility>
-
-#include <ace/SOCK_Connector.h>
-
 #include "process/edge/ace_time.h"
 #include "process/edge/socket_address.h"
 #include "process/sync_message.h"
 #include "request/byte_order.h"
 
+#include <ace/SOCK_Connector.h>
+
+#include <array>
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/sync_connection.h
+++ b/packages/process/edge/sync_connection.h
@@ -1,5 +1,13 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+#include "core/time.h"
+#include "process/edge/call_worker.h"
+
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Stream.h>
+
 #include <atomic>
 #include <cstddef>
 #include <functional>
@@ -7,14 +15,6 @@
 #include <thread>
 #include <vector>
 
-#include <ace/SOCK_Acceptor.h>
-#include <ace/SOCK_Stream.h>
-
-#include "core/ip_address.h"
-#include "core/result.h"
-#include "core/time.h"
-#include "process/edge/call_worker.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/process/edge/traffic_counters.h
+++ b/packages/process/edge/traffic_counters.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "connection/routing_strategy.h"
+#include "process/metrics.h"
+
 #include <array>
 #include <atomic>
 #include <cstdint>
 #include <vector>
 
-#include "connection/routing_strategy.h"
-#include "process/metrics.h"
-
 namespace ebonyway {
 
 /** Flow outcomes of one service as one traffic thread saw them since the start. */
--- a/packages/process/edge/traffic_view.cpp
+++ b/packages/process/edge/traffic_view.cpp
@@ -1,9 +1,9 @@
 #include "process/edge/traffic_view.h"
 
-#include <utility>
-
 #include "version/route_plan.h"
 
+#include <utility>
+
 namespace ebonyway {
 
 void traffic_view::adoptPlan(std::shared_ptr<const route_plan> newPlan)
--- a/packages/process/edge/traffic_view.h
+++ b/packages/process/edge/traffic_view.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/ip_address.h"
+
 #include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
-#include "core/ids.h"
-#include "core/ip_address.h"
-
 namespace ebonyway {
 
 class route_plan;
--- a/packages/process/edge/traffic_worker.cpp
+++ b/packages/process/edge/traffic_worker.cpp
@@ -1,15 +1,15 @@
 #include "process/edge/traffic_worker.h"
 
-#include <algorithm>
-#include <utility>
-#include <variant>
-
 #include "process/edge/packet_decider.h"
 #include "process/settings.h"
 #include "request/relay_header.h"
 #include "request/transport_header.h"
 #include "version/route_plan.h"
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/edge/traffic_worker.h
+++ b/packages/process/edge/traffic_worker.h
@@ -1,15 +1,15 @@
 #pragma once
 
-#include <memory>
-#include <optional>
-#include <vector>
-
 #include "process/edge/datagram_socket.h"
 #include "process/edge/reactor_thread.h"
 #include "process/edge/traffic_counters.h"
 #include "process/edge/traffic_view.h"
 #include "request/packet.h"
 
+#include <memory>
+#include <optional>
+#include <vector>
+
 namespace ebonyway {
 
 class packet_decider;
--- a/packages/process/event_log.cpp
+++ b/packages/process/event_log.cpp
@@ -1,10 +1,5 @@
 #include "process/event_log.h"
 
-#include <chrono>
-#include <cstdio>
-#include <ctime>
-#include <memory>
-
 #include <json/value.h>
 #include <json/writer.h>
 #include <log4cxx/basicconfigurator.h>
@@ -15,6 +10,11 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <memory>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/event_log.h
+++ b/packages/process/event_log.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "core/result.h"
+
 #include <cstdint>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include "core/result.h"
-
 namespace ebonyway {
 
 /** Severity of a log line. */
--- a/packages/process/fenced_object.cpp
+++ b/packages/process/fenced_object.cpp
@@ -1,9 +1,9 @@
 #include "process/fenced_object.h"
 
-#include <memory>
-
 #include <json/json.h>
 
+#include <memory>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/fenced_object.h
+++ b/packages/process/fenced_object.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/result.h"
+#include "process/platform_request.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "core/result.h"
-#include "process/platform_request.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/process/flow_outcome_log.cpp
+++ b/packages/process/flow_outcome_log.cpp
@@ -1,9 +1,9 @@
 #include "process/flow_outcome_log.h"
 
-#include <limits>
-
 #include "version/json_text.h"
 
+#include <limits>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/flow_outcome_log.h
+++ b/packages/process/flow_outcome_log.h
@@ -1,5 +1,11 @@
 #pragma once
 
+#include "connection/routing_strategy.h"
+#include "core/ids.h"
+#include "core/result.h"
+
+#include <json/value.h>
+
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -7,12 +13,6 @@
 #include <string>
 #include <vector>
 
-#include <json/value.h>
-
-#include "connection/routing_strategy.h"
-#include "core/ids.h"
-#include "core/result.h"
-
 namespace ebonyway {
 
 /** How a flow, or a packet that would have started one, ended for its caller. */
--- a/packages/process/gossip_message.h
+++ b/packages/process/gossip_message.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/ip_address.h"
+#include "process/bounded_archive.h"
+
 #include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "core/ids.h"
-#include "core/ip_address.h"
-#include "process/bounded_archive.h"
-
 namespace ebonyway {
 
 /** Longest failure domain name in bytes that instances exchange. */
--- a/packages/process/intent_snapshots.h
+++ b/packages/process/intent_snapshots.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <string>
-
 #include "core/result.h"
 #include "version/intent.h"
 
+#include <string>
+
 namespace ebonyway {
 
 /** An encoded intent with its slot tables. The same note gives the same bytes on each instance. */
--- a/packages/process/intent_sync.cpp
+++ b/packages/process/intent_sync.cpp
@@ -1,14 +1,14 @@
 #include "process/intent_sync.h"
 
+#include "process/overloaded.h"
+#include "version/release_note.h"
+#include "version/snapshot.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <utility>
 
-#include "process/overloaded.h"
-#include "version/release_note.h"
-#include "version/snapshot.h"
-
 namespace ebonyway {
 
 namespace {
--- a/packages/process/intent_sync.h
+++ b/packages/process/intent_sync.h
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <map>
-#include <optional>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "core/seeded_random.h"
 #include "process/control_action.h"
 #include "process/intent_snapshots.h"
@@ -16,6 +10,12 @@
 #include "process/retry_policy.h"
 #include "process/sync_message.h"
 
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
 namespace ebonyway {
 
 /** Ask a peer over the sync protocol. */
--- a/packages/process/lease.cpp
+++ b/packages/process/lease.cpp
@@ -1,9 +1,9 @@
 #include "process/lease.h"
 
-#include <memory>
-
 #include <json/json.h>
 
+#include <memory>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/lease.h
+++ b/packages/process/lease.h
@@ -1,9 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <string>
-
 #include "core/ids.h"
 #include "core/result.h"
 #include "core/seeded_random.h"
@@ -11,6 +7,10 @@
 #include "process/platform_request.h"
 #include "process/retry_policy.h"
 
+#include <cstdint>
+#include <optional>
+#include <string>
+
 namespace ebonyway {
 
 /** Time after its last renewal at which others may take a lease over. */
--- a/packages/process/load_gossip.h
+++ b/packages/process/load_gossip.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "connection/admission_policy.h"
+#include "process/gossip_message.h"
+
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
 
-#include "connection/admission_policy.h"
-#include "process/gossip_message.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/process/membership.h
+++ b/packages/process/membership.h
@@ -1,11 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "connection/cluster_view.h"
 #include "core/ip_address.h"
 #include "core/keyed_hash.h"
@@ -13,6 +7,12 @@
 #include "process/gossip_message.h"
 #include "process/log_event.h"
 
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
 namespace ebonyway {
 
 /** Gossip messages that an instance sends per interval. */
--- a/packages/process/membership_messages.cpp
+++ b/packages/process/membership_messages.cpp
@@ -1,7 +1,7 @@
-#include <algorithm>
-
 #include "process/membership.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/message_authenticator.cpp
+++ b/packages/process/message_authenticator.cpp
@@ -1,11 +1,11 @@
 #include "process/message_authenticator.h"
 
-#include <algorithm>
-
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/process/metrics.h
+++ b/packages/process/metrics.h
@@ -1,12 +1,5 @@
 #pragma once
 
-#include <atomic>
-#include <cstdint>
-#include <map>
-#include <mutex>
-#include <string>
-#include <vector>
-
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
@@ -15,6 +8,13 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
 namespace ebonyway {
 
 /** Label of a metric, for example {"reason", "truncated"}. */
--- a/packages/process/note_history.h
+++ b/packages/process/note_history.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/result.h"
+#include "version/intent.h"
+
 #include <deque>
 #include <optional>
 #include <string>
 
-#include "core/result.h"
-#include "version/intent.h"
-
 namespace ebonyway {
 
 /** A release note whose digest continues the chain of this instance. */
--- a/packages/process/platform_request.h
+++ b/packages/process/platform_request.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+#include "core/time.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -7,10 +11,6 @@
 #include <variant>
 #include <vector>
 
-#include "core/ip_address.h"
-#include "core/result.h"
-#include "core/time.h"
-
 namespace ebonyway {
 
 /** GET /objects/<key>. Answered by platform_object, or NotFound. */
--- a/packages/process/secure_datagram.cpp
+++ b/packages/process/secure_datagram.cpp
@@ -1,10 +1,10 @@
 #include "process/secure_datagram.h"
 
+#include "process/bounded_archive.h"
+
 #include <algorithm>
 #include <string>
 
-#include "process/bounded_archive.h"
-
 namespace ebonyway {
 
 namespace {
--- a/packages/process/secure_datagram.h
+++ b/packages/process/secure_datagram.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/result.h"
+#include "process/message_authenticator.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <span>
 #include <variant>
 #include <vector>
 
-#include "core/ids.h"
-#include "core/result.h"
-#include "process/message_authenticator.h"
-
 namespace ebonyway {
 
 /** Largest datagram between instances in bytes, tag included. Fits every path without fragments. */
--- a/packages/process/settings.cpp
+++ b/packages/process/settings.cpp
@@ -1,14 +1,14 @@
 #include "process/settings.h"
 
+#include "process/settings_reader.h"
+
+#include <json/reader.h>
+
 #include <cctype>
 #include <fstream>
 #include <memory>
 #include <sstream>
 
-#include <json/reader.h>
-
-#include "process/settings_reader.h"
-
 namespace ebonyway {
 
 namespace {
--- a/packages/process/settings.h
+++ b/packages/process/settings.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/ip_address.h"
+#include "core/result.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "core/ids.h"
-#include "core/ip_address.h"
-#include "core/result.h"
-
 namespace ebonyway {
 
 /** Offsets of an instance's ports from its base port. Peers derive each other's ports from them. */
--- a/packages/process/settings_reader.h
+++ b/packages/process/settings_reader.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+
+#include <json/value.h>
+
 #include <chrono>
 #include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
 
-#include <json/value.h>
-
-#include "core/ip_address.h"
-#include "core/result.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/process/singleton_work.cpp
+++ b/packages/process/singleton_work.cpp
@@ -1,12 +1,12 @@
 #include "process/singleton_work.h"
 
+#include <json/json.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <utility>
 
-#include <json/json.h>
-
 namespace ebonyway {
 
 namespace {
--- a/packages/process/singleton_work.h
+++ b/packages/process/singleton_work.h
@@ -1,10 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <optional>
-#include <string>
-
 #include "process/fenced_object.h"
 #include "process/intent_snapshots.h"
 #include "process/lease.h"
@@ -12,6 +7,11 @@
 #include "process/platform_request.h"
 #include "process/retry_policy.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
 namespace ebonyway {
 
 /** Notes between two snapshots in the platform. A starting instance folds at most this many. */
--- a/packages/process/sync_message.h
+++ b/packages/process/sync_message.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include <cstdint>
-#include <span>
-#include <string>
-#include <variant>
-#include <vector>
-
 #include "core/ids.h"
 #include "core/result.h"
 #include "process/bounded_archive.h"
 #include "process/message_authenticator.h"
 #include "version/intent.h"
 
+#include <cstdint>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
 namespace ebonyway {
 
 /**
--- a/packages/request/checksum.cpp
+++ b/packages/request/checksum.cpp
@@ -1,10 +1,10 @@
 #include "request/checksum.h"
 
-#include <cstring>
+#include "core/ip_address.h"
 
 #include <arpa/inet.h>
 
-#include "core/ip_address.h"
+#include <cstring>
 
 namespace ebonyway {
 
--- a/packages/request/flow_key.cpp
+++ b/packages/request/flow_key.cpp
@@ -1,10 +1,10 @@
 #include "request/flow_key.h"
 
+#include "core/keyed_hash.h"
+
 #include <array>
 #include <cstring>
 
-#include "core/keyed_hash.h"
-
 namespace ebonyway {
 
 flow_hash hashFlow(const flow_key &key, const keyed_hash &hash)
--- a/packages/request/flow_key.h
+++ b/packages/request/flow_key.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <compare>
-#include <cstdint>
-
 #include "core/ids.h"
 #include "core/ip_address.h"
 
+#include <compare>
+#include <cstdint>
+
 namespace ebonyway {
 
 class keyed_hash;
--- a/packages/request/icmp_error.h
+++ b/packages/request/icmp_error.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "request/packet.h"
+
 #include <cstddef>
 #include <span>
 #include <variant>
 
-#include "request/packet.h"
-
 namespace ebonyway {
 
 struct ip_header;
--- a/packages/request/ip_header.cpp
+++ b/packages/request/ip_header.cpp
@@ -1,11 +1,11 @@
 #include "request/ip_header.h"
 
-#include <algorithm>
-#include <optional>
-
 #include "request/byte_order.h"
 #include "request/checksum.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/request/ip_header.h
+++ b/packages/request/ip_header.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "request/packet.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <span>
 #include <variant>
 
-#include "core/ip_address.h"
-#include "request/packet.h"
-
 namespace ebonyway {
 
 /** IP protocol numbers that the parser treats specially (IANA "Protocol Numbers"). */
--- a/packages/request/packet.h
+++ b/packages/request/packet.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "request/flow_key.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <span>
 #include <variant>
 #include <vector>
 
-#include "request/flow_key.h"
-
 namespace ebonyway {
 
 /** Reasons for which a packet cannot be assigned to a flow. Each is counted separately. */
--- a/packages/request/packet_builder.cpp
+++ b/packages/request/packet_builder.cpp
@@ -1,13 +1,13 @@
 #include "request/packet_builder.h"
 
-#include <algorithm>
-#include <utility>
-
 #include "core/precondition.h"
 #include "request/byte_order.h"
 #include "request/checksum.h"
 #include "request/ip_header.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/request/packet_builder.h
+++ b/packages/request/packet_builder.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "request/transport_header.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <span>
 #include <vector>
 
-#include "core/ip_address.h"
-#include "request/transport_header.h"
-
 namespace ebonyway {
 
 /** Builds an IPv4 or IPv6 packet with one TCP segment. Both addresses must be of one version. */
--- a/packages/request/relay_header.h
+++ b/packages/request/relay_header.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "core/ids.h"
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
 
-#include "core/ids.h"
-
 namespace ebonyway {
 
 /** Bytes of the header in front of a caller's packet on the relay port. */
--- a/packages/request/transport_header.h
+++ b/packages/request/transport_header.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "request/packet.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
 #include <variant>
 
-#include "request/packet.h"
-
 namespace ebonyway {
 
 struct ip_header;
--- a/packages/standins/backend_server_model.h
+++ b/packages/standins/backend_server_model.h
@@ -1,13 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <deque>
-#include <map>
-#include <optional>
-#include <span>
-#include <string>
-#include <vector>
-
 #include "core/ip_address.h"
 #include "core/seeded_random.h"
 #include "core/time.h"
@@ -17,6 +9,14 @@
 #include "standins/tcp_connection.h"
 #include "standins/timer_queue.h"
 
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
 namespace ebonyway::standins {
 
 /** Configuration of a backend server stand-in. */
--- a/packages/standins/caller_model.h
+++ b/packages/standins/caller_model.h
@@ -1,12 +1,5 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
-#include <optional>
-#include <span>
-#include <string>
-#include <vector>
-
 #include "core/ip_address.h"
 #include "core/seeded_random.h"
 #include "core/time.h"
@@ -15,6 +8,13 @@
 #include "standins/tcp_connection.h"
 #include "standins/timer_queue.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
 namespace ebonyway::standins {
 
 /** A service as callers know it. */
--- a/packages/standins/caller_report.cpp
+++ b/packages/standins/caller_report.cpp
@@ -1,9 +1,9 @@
 #include "standins/caller_report.h"
 
-#include <algorithm>
-
 #include "standins/caller_model.h"
 
+#include <algorithm>
+
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/event_loop.cpp
+++ b/packages/standins/event_loop.cpp
@@ -1,11 +1,11 @@
 #include "standins/event_loop.h"
 
-#include <algorithm>
-#include <csignal>
-
 #include <ace/Log_Msg.h>
 #include <ace/Time_Value.h>
 
+#include <algorithm>
+#include <csignal>
+
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/event_loop.h
+++ b/packages/standins/event_loop.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <atomic>
-#include <functional>
+#include "core/time.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 
-#include "core/time.h"
+#include <atomic>
+#include <functional>
 
 namespace ebonyway::standins {
 
--- a/packages/standins/fabric_control.cpp
+++ b/packages/standins/fabric_control.cpp
@@ -1,12 +1,12 @@
 #include "standins/fabric_control.h"
 
+#include "standins/fabric_model.h"
+
 #include <functional>
 #include <map>
 #include <sstream>
 #include <vector>
 
-#include "standins/fabric_model.h"
-
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/fabric_model.cpp
+++ b/packages/standins/fabric_model.cpp
@@ -1,10 +1,10 @@
 #include "standins/fabric_model.h"
 
+#include "standins/stream_segment.h"
+
 #include <algorithm>
 #include <charconv>
 
-#include "standins/stream_segment.h"
-
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/fabric_model.h
+++ b/packages/standins/fabric_model.h
@@ -1,5 +1,10 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/ip_address.h"
+#include "core/seeded_random.h"
+#include "core/time.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -10,11 +15,6 @@
 #include <utility>
 #include <vector>
 
-#include "core/ids.h"
-#include "core/ip_address.h"
-#include "core/seeded_random.h"
-#include "core/time.h"
-
 namespace ebonyway::standins {
 
 /** An instance that the fabric sprays packets over. */
--- a/packages/standins/http_port.cpp
+++ b/packages/standins/http_port.cpp
@@ -1,10 +1,10 @@
 #include "standins/http_port.h"
 
+#include "standins/json_line.h"
+
 #include <httplib.h>
 #include <json/json.h>
 
-#include "standins/json_line.h"
-
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/http_port.h
+++ b/packages/standins/http_port.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+
+#include <json/forwards.h>
+
 #include <functional>
 #include <memory>
 #include <string>
 #include <thread>
 
-#include <json/forwards.h>
-
-#include "core/ip_address.h"
-#include "core/result.h"
-
 namespace httplib {
 class Server;
 struct Request;
--- a/packages/standins/json_line.h
+++ b/packages/standins/json_line.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <string>
-
 #include <json/json.h>
 
+#include <string>
+
 namespace ebonyway::standins {
 
 /** Writes a value as one line without a line end. */
--- a/packages/standins/main_backend_server.cpp
+++ b/packages/standins/main_backend_server.cpp
@@ -1,9 +1,3 @@
-#include <iostream>
-#include <mutex>
-#include <string>
-
-#include <httplib.h>
-
 #include "standins/backend_server_model.h"
 #include "standins/event_loop.h"
 #include "standins/http_port.h"
@@ -12,6 +6,12 @@
 #include "standins/server_control.h"
 #include "standins/udp_port.h"
 
+#include <httplib.h>
+
+#include <iostream>
+#include <mutex>
+#include <string>
+
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/main_fabric.cpp
+++ b/packages/standins/main_fabric.cpp
@@ -1,6 +1,3 @@
-#include <iostream>
-#include <string>
-
 #include "standins/event_loop.h"
 #include "standins/fabric_control.h"
 #include "standins/fabric_model.h"
@@ -8,6 +5,9 @@
 #include "standins/option_parser.h"
 #include "standins/udp_port.h"
 
+#include <iostream>
+#include <string>
+
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/main_platform.cpp
+++ b/packages/standins/main_platform.cpp
@@ -1,12 +1,12 @@
-#include <iostream>
-
-#include <json/json.h>
-
 #include "standins/event_loop.h"
 #include "standins/json_line.h"
 #include "standins/option_parser.h"
 #include "standins/platform_service.h"
 
+#include <json/json.h>
+
+#include <iostream>
+
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/option_parser.cpp
+++ b/packages/standins/option_parser.cpp
@@ -1,13 +1,13 @@
 #include "standins/option_parser.h"
 
+#include <popt.h>
+
 #include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <sstream>
 #include <utility>
 
-#include <popt.h>
-
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/option_parser.h
+++ b/packages/standins/option_parser.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+#include "core/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "core/ip_address.h"
-#include "core/result.h"
-#include "core/time.h"
-
 namespace ebonyway::standins {
 
 /** Reads command line options into variables with popt. Every option takes a value. */
--- a/packages/standins/platform_control.cpp
+++ b/packages/standins/platform_control.cpp
@@ -1,11 +1,11 @@
 #include "standins/platform_control.h"
 
-#include <array>
-#include <utility>
+#include "standins/platform_model.h"
 
 #include <json/json.h>
 
-#include "standins/platform_model.h"
+#include <array>
+#include <utility>
 
 namespace ebonyway::standins {
 
--- a/packages/standins/platform_control.h
+++ b/packages/standins/platform_control.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <json/forwards.h>
-
 #include "core/result.h"
 #include "core/time.h"
 
+#include <json/forwards.h>
+
 namespace ebonyway::standins {
 
 class platform_model;
--- a/packages/standins/platform_model.cpp
+++ b/packages/standins/platform_model.cpp
@@ -1,12 +1,12 @@
 #include "standins/platform_model.h"
 
-#include <algorithm>
-#include <charconv>
-#include <utility>
+#include "core/ip_address.h"
 
 #include <json/json.h>
 
-#include "core/ip_address.h"
+#include <algorithm>
+#include <charconv>
+#include <utility>
 
 namespace ebonyway::standins {
 
--- a/packages/standins/platform_model.h
+++ b/packages/standins/platform_model.h
@@ -1,5 +1,10 @@
 #pragma once
 
+#include "core/result.h"
+#include "core/seeded_random.h"
+#include "core/time.h"
+#include "standins/platform_store.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -8,11 +13,6 @@
 #include <variant>
 #include <vector>
 
-#include "core/result.h"
-#include "core/seeded_random.h"
-#include "core/time.h"
-#include "standins/platform_store.h"
-
 namespace ebonyway::standins {
 
 /** A request to the platform, independent of the HTTP library. */
--- a/packages/standins/platform_service.cpp
+++ b/packages/standins/platform_service.cpp
@@ -1,19 +1,19 @@
 #include "standins/platform_service.h"
 
-#include <chrono>
-#include <cstdio>
-#include <fstream>
-#include <sstream>
-#include <thread>
-#include <utility>
+#include "standins/json_line.h"
+#include "standins/platform_control.h"
 
 #include <arpa/inet.h>
 #include <httplib.h>
 #include <json/json.h>
 #include <sys/socket.h>
 
-#include "standins/json_line.h"
-#include "standins/platform_control.h"
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <utility>
 
 namespace ebonyway::standins {
 
--- a/packages/standins/platform_service.h
+++ b/packages/standins/platform_service.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+#include "standins/http_port.h"
+#include "standins/platform_model.h"
+
 #include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
 
-#include "core/ip_address.h"
-#include "core/result.h"
-#include "standins/http_port.h"
-#include "standins/platform_model.h"
-
 namespace ebonyway::standins {
 
 /** Addresses and files of the platform stand-in. */
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -1,11 +1,11 @@
 #include "standins/platform_store.h"
 
+#include <json/json.h>
+
 #include <algorithm>
 #include <charconv>
 #include <memory>
 
-#include <json/json.h>
-
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "core/result.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "core/result.h"
-
 namespace ebonyway::standins {
 
 /** One version of an object. The version is the revision of the write that made it. */
--- a/packages/standins/server_control.cpp
+++ b/packages/standins/server_control.cpp
@@ -1,10 +1,10 @@
 #include "standins/server_control.h"
 
-#include <utility>
+#include "standins/backend_server_model.h"
 
 #include <json/json.h>
 
-#include "standins/backend_server_model.h"
+#include <utility>
 
 namespace ebonyway::standins {
 
--- a/packages/standins/server_work.h
+++ b/packages/standins/server_work.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "core/seeded_random.h"
+#include "core/time.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/seeded_random.h"
-#include "core/time.h"
-
 namespace ebonyway::standins {
 
 /** Capacity of a backend server stand-in. */
--- a/packages/standins/stream_segment.h
+++ b/packages/standins/stream_segment.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "request/flow_key.h"
+#include "request/packet.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -7,9 +10,6 @@
 #include <string>
 #include <vector>
 
-#include "request/flow_key.h"
-#include "request/packet.h"
-
 namespace ebonyway::standins {
 
 /** The fields of a TCP segment that the stand-ins use, with its own copy of the payload. */
--- a/packages/standins/tcp_connection.h
+++ b/packages/standins/tcp_connection.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "core/time.h"
+#include "standins/stream_segment.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/time.h"
-#include "standins/stream_segment.h"
-
 namespace ebonyway::standins {
 
 /** Retransmission timing. The defaults are those of the Linux kernel where it has them. */
--- a/packages/standins/timer_queue.h
+++ b/packages/standins/timer_queue.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "core/time.h"
+
 #include <map>
 #include <queue>
 #include <vector>
 
-#include "core/time.h"
-
 namespace ebonyway::standins {
 
 /** Wake-up times of many objects, at most one per object: its earliest. */
--- a/packages/standins/udp_port.cpp
+++ b/packages/standins/udp_port.cpp
@@ -1,12 +1,12 @@
 #include "standins/udp_port.h"
 
-#include <array>
-#include <utility>
-
 #include <ace/Reactor.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <utility>
+
 namespace ebonyway::standins {
 
 namespace {
--- a/packages/standins/udp_port.h
+++ b/packages/standins/udp_port.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include <cstddef>
-#include <functional>
-#include <map>
-#include <span>
+#include "core/ip_address.h"
+#include "core/result.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Dgram.h>
 
-#include "core/ip_address.h"
-#include "core/result.h"
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <span>
 
 class ACE_Reactor;
 
--- a/packages/version/intent.h
+++ b/packages/version/intent.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "core/ids.h"
+#include "core/ip_address.h"
+#include "request/flow_key.h"
+
 #include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "core/ids.h"
-#include "core/ip_address.h"
-#include "request/flow_key.h"
-
 namespace ebonyway {
 
 /** SHA-256 over a release note and the digest of its predecessor. */
--- a/packages/version/intent_log.h
+++ b/packages/version/intent_log.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/error.h"
+#include "version/intent.h"
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -8,9 +11,6 @@
 #include <string>
 #include <variant>
 
-#include "core/error.h"
-#include "version/intent.h"
-
 namespace ebonyway {
 
 class route_plan;
--- a/packages/version/json_text.cpp
+++ b/packages/version/json_text.cpp
@@ -1,11 +1,11 @@
 #include "version/json_text.h"
 
-#include <algorithm>
-#include <memory>
-
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <algorithm>
+#include <memory>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/version/json_text.h
+++ b/packages/version/json_text.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <cstdint>
-#include <string>
+#include "core/result.h"
 
 #include <json/value.h>
 
-#include "core/result.h"
+#include <cstdint>
+#include <string>
 
 namespace ebonyway {
 
--- a/packages/version/note_acceptance.h
+++ b/packages/version/note_acceptance.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include <string>
-#include <vector>
-
 #include "core/result.h"
 #include "version/intent.h"
 #include "version/platform_notes.h"
@@ -10,6 +7,9 @@
 #include "version/release_note.h"
 #include "version/retry_budget.h"
 
+#include <string>
+#include <vector>
+
 namespace ebonyway {
 
 /** A release note that passed all checks against the intent that was read. */
--- a/packages/version/note_effect.cpp
+++ b/packages/version/note_effect.cpp
@@ -1,13 +1,13 @@
 #include "version/note_effect.h"
 
-#include <algorithm>
-#include <map>
-#include <optional>
-
 #include "version/duration_text.h"
 #include "version/number_text.h"
 #include "version/route_plan.h"
 
+#include <algorithm>
+#include <map>
+#include <optional>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/version/note_fields.cpp
+++ b/packages/version/note_fields.cpp
@@ -1,12 +1,12 @@
 #include "version/note_fields.h"
 
-#include <algorithm>
-#include <string_view>
-
 #include "version/duration_text.h"
 #include "version/json_text.h"
 #include "version/release_note.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/version/note_fields.h
+++ b/packages/version/note_fields.h
@@ -1,5 +1,11 @@
 #pragma once
 
+#include "core/error.h"
+#include "core/ip_address.h"
+#include "request/flow_key.h"
+
+#include <json/value.h>
+
 #include <chrono>
 #include <cstdint>
 #include <initializer_list>
@@ -7,12 +13,6 @@
 #include <string>
 #include <vector>
 
-#include <json/value.h>
-
-#include "core/error.h"
-#include "core/ip_address.h"
-#include "request/flow_key.h"
-
 namespace ebonyway {
 
 /** Range of whole numbers, both ends included. */
--- a/packages/version/platform_notes.cpp
+++ b/packages/version/platform_notes.cpp
@@ -1,10 +1,10 @@
 #include "version/platform_notes.h"
 
+#include "version/snapshot.h"
+
 #include <algorithm>
 #include <charconv>
 
-#include "version/snapshot.h"
-
 namespace ebonyway {
 
 namespace {
--- a/packages/version/platform_notes.h
+++ b/packages/version/platform_notes.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <optional>
-#include <string>
-#include <vector>
-
 #include "core/result.h"
 #include "version/platform_store.h"
 #include "version/retry_budget.h"
 #include "version/route_plan.h"
 
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace ebonyway {
 
 /** Returns the key of a release note, for example "notes/0000000042". */
--- a/packages/version/platform_store.h
+++ b/packages/version/platform_store.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/result.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "core/result.h"
-
 namespace ebonyway {
 
 /** An object of the platform and the version that a conditional update names. */
--- a/packages/version/release_note.cpp
+++ b/packages/version/release_note.cpp
@@ -1,11 +1,11 @@
 #include "version/release_note.h"
 
-#include <memory>
+#include "version/json_text.h"
+#include "version/note_fields.h"
 
 #include <openssl/evp.h>
 
-#include "version/json_text.h"
-#include "version/note_fields.h"
+#include <memory>
 
 namespace ebonyway {
 
--- a/packages/version/release_note.h
+++ b/packages/version/release_note.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/result.h"
+#include "version/intent.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -7,9 +10,6 @@
 #include <string_view>
 #include <vector>
 
-#include "core/result.h"
-#include "version/intent.h"
-
 namespace ebonyway {
 
 /** Limits of a release note and of the intent that the notes add up to. */
--- a/packages/version/retry_budget.h
+++ b/packages/version/retry_budget.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/seeded_random.h"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
 
-#include "core/seeded_random.h"
-
 namespace ebonyway {
 
 /** Waits for the given time; tests pass a function that only advances virtual time. */
--- a/packages/version/route_plan.cpp
+++ b/packages/version/route_plan.cpp
@@ -1,10 +1,10 @@
 #include "version/route_plan.h"
 
-#include <string_view>
-
 #include "core/precondition.h"
 #include "version/slot_shares.h"
 
+#include <string_view>
+
 namespace ebonyway {
 
 route_plan::route_plan(const route_plan &previous, intent next)
--- a/packages/version/route_plan.h
+++ b/packages/version/route_plan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "version/intent.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -8,8 +10,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "version/intent.h"
-
 namespace ebonyway {
 
 /** Most earlier targets that a slot table keeps per slot. */
--- a/packages/version/slot_mover.cpp
+++ b/packages/version/slot_mover.cpp
@@ -1,10 +1,10 @@
 #include "version/slot_mover.h"
 
+#include "core/keyed_hash.h"
+
 #include <algorithm>
 #include <array>
 
-#include "core/keyed_hash.h"
-
 namespace ebonyway {
 
 namespace {
--- a/packages/version/slot_mover.h
+++ b/packages/version/slot_mover.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "version/route_plan.h"
+#include "version/slot_shares.h"
+
 #include <cstdint>
 #include <optional>
 #include <vector>
 
-#include "version/route_plan.h"
-#include "version/slot_shares.h"
-
 namespace ebonyway {
 
 /**
--- a/packages/version/slot_shares.h
+++ b/packages/version/slot_shares.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "version/intent.h"
+
 #include <cstdint>
 #include <vector>
 
-#include "version/intent.h"
-
 namespace ebonyway {
 
 /** Weight of one backend server that accepts new flows. */
--- a/packages/version/slot_table.cpp
+++ b/packages/version/slot_table.cpp
@@ -1,9 +1,9 @@
-#include <algorithm>
-
 #include "version/route_plan.h"
 #include "version/slot_mover.h"
 #include "version/slot_shares.h"
 
+#include <algorithm>
+
 namespace ebonyway {
 
 namespace {
--- a/packages/version/snapshot.cpp
+++ b/packages/version/snapshot.cpp
@@ -1,15 +1,15 @@
 #include "version/snapshot.h"
 
-#include <bit>
-#include <cmath>
-#include <map>
-#include <sstream>
+#include "version/note_fold.h"
+#include "version/release_note.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 
-#include "version/note_fold.h"
-#include "version/release_note.h"
+#include <bit>
+#include <cmath>
+#include <map>
+#include <sstream>
 
 namespace ebonyway {
 
--- a/packages/version/snapshot.h
+++ b/packages/version/snapshot.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-#include <vector>
-
 #include "core/result.h"
 #include "version/route_plan.h"
 
+#include <string>
+#include <vector>
+
 namespace ebonyway {
 
 /** The platform stores values of up to 1 MB. */
--- a/tests/connection/baseline_strategies.h
+++ b/tests/connection/baseline_strategies.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <memory>
-#include <unordered_map>
-
 #include "connection/routing_strategy.h"
 #include "core/keyed_hash.h"
 #include "version/route_plan.h"
 
+#include <memory>
+#include <unordered_map>
+
 namespace ebonyway {
 
 /** Baseline: every packet goes to the target of its slot. */
--- a/tests/connection/capacity_admission_test.cpp
+++ b/tests/connection/capacity_admission_test.cpp
@@ -1,10 +1,9 @@
 #include "connection/capacity_admission.h"
-
-#include <string>
+#include "connection/capacity_strategies.h"
 
 #include <doctest/doctest.h>
 
-#include "connection/capacity_strategies.h"
+#include <string>
 
 namespace ebonyway {
 
--- a/tests/connection/capacity_health_test.cpp
+++ b/tests/connection/capacity_health_test.cpp
@@ -1,9 +1,8 @@
 #include "connection/capacity_admission.h"
+#include "connection/capacity_model.h"
 
 #include <doctest/doctest.h>
 
-#include "connection/capacity_model.h"
-
 namespace ebonyway {
 
 namespace {
--- a/tests/connection/capacity_model.h
+++ b/tests/connection/capacity_model.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "connection/admission_policy.h"
+#include "core/seeded_random.h"
+#include "version/intent.h"
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -8,10 +12,6 @@
 #include <numeric>
 #include <vector>
 
-#include "connection/admission_policy.h"
-#include "core/seeded_random.h"
-#include "version/intent.h"
-
 namespace ebonyway {
 
 /** Where admission places a flow in the model. */
--- a/tests/connection/engine_driver.cpp
+++ b/tests/connection/engine_driver.cpp
@@ -1,10 +1,10 @@
 #include "engine_driver.h"
 
+#include "baseline_strategies.h"
+
 #include <algorithm>
 #include <utility>
 
-#include "baseline_strategies.h"
-
 namespace ebonyway {
 
 namespace {
--- a/tests/connection/engine_driver.h
+++ b/tests/connection/engine_driver.h
@@ -1,5 +1,10 @@
 #pragma once
 
+#include "connection/flow_engine.h"
+#include "core/seeded_random.h"
+#include "fake_admission.h"
+#include "version/route_plan.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -7,11 +12,6 @@
 #include <set>
 #include <vector>
 
-#include "connection/flow_engine.h"
-#include "core/seeded_random.h"
-#include "fake_admission.h"
-#include "version/route_plan.h"
-
 namespace ebonyway {
 
 enum class strategy_kind {
--- a/tests/connection/fake_admission.h
+++ b/tests/connection/fake_admission.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "connection/admission_policy.h"
+
 #include <map>
 #include <set>
 
-#include "connection/admission_policy.h"
-
 namespace ebonyway {
 
 /** Admission policy whose judgements a test sets by hand; shared by all engines of a driver. */
--- a/tests/connection/flow_engine_scenario_test.cpp
+++ b/tests/connection/flow_engine_scenario_test.cpp
@@ -1,7 +1,7 @@
-#include <doctest/doctest.h>
-
 #include "engine_driver.h"
 
+#include <doctest/doctest.h>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/connection/flow_parts_test.cpp
+++ b/tests/connection/flow_parts_test.cpp
@@ -1,7 +1,3 @@
-#include <set>
-
-#include <doctest/doctest.h>
-
 #include "connection/engine_message.h"
 #include "connection/home_assignment.h"
 #include "connection/partition_signal.h"
@@ -11,6 +7,10 @@
 #include "connection/udp_seen_set.h"
 #include "core/seeded_random.h"
 
+#include <doctest/doctest.h>
+
+#include <set>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/ebonyway/operator_session_test.cpp
+++ b/tests/ebonyway/operator_session_test.cpp
@@ -1,13 +1,13 @@
-#include <map>
-
-#include <doctest/doctest.h>
-
 #include "ebonyway/operator_commands.h"
 #include "golden_file.h"
 #include "version/fake_platform_store.h"
 #include "version/json_text.h"
 #include "version/note_samples.h"
 
+#include <doctest/doctest.h>
+
+#include <map>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/process/burn_report_test.cpp
+++ b/tests/process/burn_report_test.cpp
@@ -1,12 +1,11 @@
-#include "process/burn_report.h"
-
-#include <doctest/doctest.h>
-
 #include "core/seeded_random.h"
 #include "golden_file.h"
+#include "process/burn_report.h"
 #include "version/intent.h"
 #include "version/json_text.h"
 
+#include <doctest/doctest.h>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/process/control_core_test.cpp
+++ b/tests/process/control_core_test.cpp
@@ -1,11 +1,10 @@
 #include "process/control_core.h"
-
-#include <algorithm>
+#include "process/control_fleet.h"
+#include "version/release_note.h"
 
 #include <doctest/doctest.h>
 
-#include "process/control_fleet.h"
-#include "version/release_note.h"
+#include <algorithm>
 
 namespace ebonyway {
 
--- a/tests/process/control_fleet.h
+++ b/tests/process/control_fleet.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "core/seeded_random.h"
+#include "process/control_core.h"
+#include "process/fake_platform.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -9,10 +13,6 @@
 #include <string>
 #include <vector>
 
-#include "core/seeded_random.h"
-#include "process/control_core.h"
-#include "process/fake_platform.h"
-
 namespace ebonyway {
 
 /** Behaviour of the simulated network between instances. */
--- a/tests/process/edge/http_platform_store_test.cpp
+++ b/tests/process/edge/http_platform_store_test.cpp
@@ -1,11 +1,11 @@
 #include "process/edge/http_platform_store.h"
 
-#include <future>
-#include <thread>
-
 #include <doctest/doctest.h>
 #include <httplib.h>
 
+#include <future>
+#include <thread>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/process/edge/outcome_collector_test.cpp
+++ b/tests/process/edge/outcome_collector_test.cpp
@@ -1,10 +1,9 @@
 #include "process/edge/outcome_collector.h"
-
-#include <doctest/doctest.h>
-
 #include "process/edge/traffic_counters.h"
 #include "version/intent.h"
 
+#include <doctest/doctest.h>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/process/fake_platform.h
+++ b/tests/process/fake_platform.h
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "core/result.h"
+#include "core/time.h"
+#include "process/platform_request.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/result.h"
-#include "core/time.h"
-#include "process/platform_request.h"
-
 namespace ebonyway {
 
 /** How the simulated platform misbehaves. */
--- a/tests/process/intent_sync_test.cpp
+++ b/tests/process/intent_sync_test.cpp
@@ -1,7 +1,7 @@
-#include <doctest/doctest.h>
-
 #include "process/control_fleet.h"
 
+#include <doctest/doctest.h>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/process/lease_test.cpp
+++ b/tests/process/lease_test.cpp
@@ -1,10 +1,9 @@
+#include "process/fake_platform.h"
+#include "process/fenced_object.h"
 #include "process/lease.h"
 
 #include <doctest/doctest.h>
 
-#include "process/fake_platform.h"
-#include "process/fenced_object.h"
-
 namespace ebonyway {
 
 namespace {
--- a/tests/process/metrics_test.cpp
+++ b/tests/process/metrics_test.cpp
@@ -1,9 +1,8 @@
+#include "process/event_log.h"
 #include "process/metrics.h"
 
 #include <doctest/doctest.h>
 
-#include "process/event_log.h"
-
 namespace ebonyway {
 
 namespace {
--- a/tests/process/scale_test.cpp
+++ b/tests/process/scale_test.cpp
@@ -1,8 +1,8 @@
-#include <algorithm>
+#include "process/control_fleet.h"
 
 #include <doctest/doctest.h>
 
-#include "process/control_fleet.h"
+#include <algorithm>
 
 namespace ebonyway {
 
--- a/tests/process/secure_datagram_test.cpp
+++ b/tests/process/secure_datagram_test.cpp
@@ -1,11 +1,10 @@
-#include "process/secure_datagram.h"
-
-#include <doctest/doctest.h>
-
 #include "core/seeded_random.h"
 #include "process/gossip_message.h"
+#include "process/secure_datagram.h"
 #include "process/sync_message.h"
 
+#include <doctest/doctest.h>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -1,9 +1,8 @@
 #include "process/settings.h"
+#include "process/settings_reader.h"
 
 #include <doctest/doctest.h>
 
-#include "process/settings_reader.h"
-
 namespace ebonyway {
 
 namespace {
--- a/tests/request/known_packets.h
+++ b/tests/request/known_packets.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "core/ip_address.h"
+#include "core/result.h"
+
 #include <cstddef>
 #include <string>
 #include <vector>
 
-#include "core/ip_address.h"
-#include "core/result.h"
-
 namespace ebonyway {
 
 // Packets written by hand, with checksums computed apart from the code under test.
--- a/tests/request/packet_allocation_test.cpp
+++ b/tests/request/packet_allocation_test.cpp
@@ -1,11 +1,10 @@
+#include "request/known_packets.h"
 #include "request/packet.h"
 
-#include <cstdlib>
-#include <new>
-
 #include <doctest/doctest.h>
 
-#include "request/known_packets.h"
+#include <cstdlib>
+#include <new>
 
 namespace {
 
--- a/tests/request/packet_fuzz_test.cpp
+++ b/tests/request/packet_fuzz_test.cpp
@@ -1,13 +1,11 @@
+#include "core/seeded_random.h"
+#include "request/known_packets.h"
 #include "request/packet.h"
-
-#include <algorithm>
+#include "request/packet_builder.h"
 
 #include <doctest/doctest.h>
 
-#include "core/seeded_random.h"
-#include "request/packet_builder.h"
-
-#include "request/known_packets.h"
+#include <algorithm>
 
 namespace ebonyway {
 
--- a/tests/request/packet_test.cpp
+++ b/tests/request/packet_test.cpp
@@ -1,12 +1,10 @@
-#include "request/packet.h"
-
-#include <doctest/doctest.h>
-
 #include "request/byte_order.h"
 #include "request/checksum.h"
+#include "request/known_packets.h"
+#include "request/packet.h"
 #include "request/packet_builder.h"
 
-#include "request/known_packets.h"
+#include <doctest/doctest.h>
 
 namespace ebonyway {
 
--- a/tests/request/relay_header_test.cpp
+++ b/tests/request/relay_header_test.cpp
@@ -1,11 +1,10 @@
+#include "core/seeded_random.h"
 #include "request/relay_header.h"
 
-#include <algorithm>
-#include <vector>
-
 #include <doctest/doctest.h>
 
-#include "core/seeded_random.h"
+#include <algorithm>
+#include <vector>
 
 namespace ebonyway {
 
--- a/tests/standins/backend_server_model_test.cpp
+++ b/tests/standins/backend_server_model_test.cpp
@@ -1,12 +1,11 @@
 #include "standins/backend_server_model.h"
-
-#include <sstream>
+#include "standins/json_line.h"
+#include "standins/server_control.h"
 
 #include <doctest/doctest.h>
 #include <json/json.h>
 
-#include "standins/json_line.h"
-#include "standins/server_control.h"
+#include <sstream>
 
 namespace ebonyway::standins {
 
--- a/tests/standins/caller_model_test.cpp
+++ b/tests/standins/caller_model_test.cpp
@@ -1,10 +1,9 @@
 #include "standins/caller_model.h"
-
-#include <set>
+#include "standins/virtual_network.h"
 
 #include <doctest/doctest.h>
 
-#include "standins/virtual_network.h"
+#include <set>
 
 namespace ebonyway::standins {
 
--- a/tests/standins/fabric_model_test.cpp
+++ b/tests/standins/fabric_model_test.cpp
@@ -1,10 +1,9 @@
+#include "standins/fabric_control.h"
 #include "standins/fabric_model.h"
+#include "standins/stream_segment.h"
 
 #include <doctest/doctest.h>
 
-#include "standins/fabric_control.h"
-#include "standins/stream_segment.h"
-
 namespace ebonyway::standins {
 
 using namespace std::chrono_literals;
--- a/tests/standins/platform_model_test.cpp
+++ b/tests/standins/platform_model_test.cpp
@@ -1,12 +1,11 @@
+#include "standins/json_line.h"
+#include "standins/platform_control.h"
 #include "standins/platform_model.h"
 
-#include <sstream>
-
 #include <doctest/doctest.h>
 #include <json/json.h>
 
-#include "standins/json_line.h"
-#include "standins/platform_control.h"
+#include <sstream>
 
 namespace ebonyway::standins {
 
--- a/tests/standins/request_line_test.cpp
+++ b/tests/standins/request_line_test.cpp
@@ -1,9 +1,8 @@
+#include "core/seeded_random.h"
 #include "standins/request_line.h"
 
 #include <doctest/doctest.h>
 
-#include "core/seeded_random.h"
-
 namespace ebonyway::standins {
 
 namespace {
--- a/tests/standins/session_test.cpp
+++ b/tests/standins/session_test.cpp
@@ -1,9 +1,9 @@
-#include <chrono>
+#include "golden_file.h"
+#include "standins/virtual_network.h"
 
 #include <doctest/doctest.h>
 
-#include "golden_file.h"
-#include "standins/virtual_network.h"
+#include <chrono>
 
 namespace ebonyway::standins {
 
--- a/tests/standins/tcp_connection_test.cpp
+++ b/tests/standins/tcp_connection_test.cpp
@@ -1,11 +1,10 @@
+#include "core/seeded_random.h"
 #include "standins/tcp_connection.h"
 
-#include <algorithm>
-#include <map>
-
 #include <doctest/doctest.h>
 
-#include "core/seeded_random.h"
+#include <algorithm>
+#include <map>
 
 namespace ebonyway::standins {
 
--- a/tests/standins/virtual_network.cpp
+++ b/tests/standins/virtual_network.cpp
@@ -1,11 +1,11 @@
 #include "standins/virtual_network.h"
 
+#include "standins/stream_segment.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
 
-#include "standins/stream_segment.h"
-
 namespace ebonyway::standins {
 
 namespace {
--- a/tests/standins/virtual_network.h
+++ b/tests/standins/virtual_network.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <deque>
-#include <string>
-#include <vector>
-
 #include "standins/backend_server_model.h"
 #include "standins/caller_model.h"
 #include "standins/fabric_model.h"
 
+#include <deque>
+#include <string>
+#include <vector>
+
 namespace ebonyway::standins {
 
 /**
--- a/tests/system/daemon_session_test.cpp
+++ b/tests/system/daemon_session_test.cpp
@@ -1,15 +1,14 @@
+#include "process/edge/http_platform_store.h"
 #include "process/edge/instance_daemon.h"
-
-#include <array>
-#include <thread>
+#include "process/edge/socket_address.h"
+#include "request/packet_builder.h"
+#include "standins/platform_service.h"
 
 #include <ace/SOCK_Dgram.h>
 #include <doctest/doctest.h>
 
-#include "process/edge/http_platform_store.h"
-#include "process/edge/socket_address.h"
-#include "request/packet_builder.h"
-#include "standins/platform_service.h"
+#include <array>
+#include <thread>
 
 namespace ebonyway::standins {
 
--- a/tests/version/fake_platform_store.h
+++ b/tests/version/fake_platform_store.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "core/seeded_random.h"
+#include "version/platform_store.h"
+
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "core/seeded_random.h"
-#include "version/platform_store.h"
-
 namespace ebonyway {
 
 /** How often the fake platform misbehaves, in calls of 100. */
--- a/tests/version/intent_log_test.cpp
+++ b/tests/version/intent_log_test.cpp
@@ -1,10 +1,9 @@
 #include "version/intent_log.h"
-
-#include <doctest/doctest.h>
-
 #include "version/note_samples.h"
 #include "version/release_note.h"
 
+#include <doctest/doctest.h>
+
 namespace ebonyway {
 
 namespace {
--- a/tests/version/intent_samples.h
+++ b/tests/version/intent_samples.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <string>
-
 #include "version/intent.h"
 
+#include <string>
+
 namespace ebonyway {
 
 /** Adds a failure domain and returns its id. */
--- a/tests/version/note_acceptance_test.cpp
+++ b/tests/version/note_acceptance_test.cpp
@@ -1,11 +1,10 @@
+#include "version/fake_platform_store.h"
 #include "version/note_acceptance.h"
-
-#include <optional>
+#include "version/note_samples.h"
 
 #include <doctest/doctest.h>
 
-#include "version/fake_platform_store.h"
-#include "version/note_samples.h"
+#include <optional>
 
 namespace ebonyway {
 
--- a/tests/version/note_samples.h
+++ b/tests/version/note_samples.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <string>
-
 #include "version/snapshot.h"
 
+#include <string>
+
 namespace ebonyway {
 
 /** The entry of one backend server of vitrine. */
--- a/tests/version/release_note_test.cpp
+++ b/tests/version/release_note_test.cpp
@@ -1,12 +1,11 @@
-#include "version/release_note.h"
-
-#include <doctest/doctest.h>
-
 #include "core/seeded_random.h"
 #include "version/duration_text.h"
 #include "version/note_effect.h"
 #include "version/note_fold.h"
 #include "version/note_samples.h"
+#include "version/release_note.h"
+
+#include <doctest/doctest.h>
 
 namespace ebonyway {
 
--- a/tests/version/route_plan_test.cpp
+++ b/tests/version/route_plan_test.cpp
@@ -1,12 +1,11 @@
+#include "core/seeded_random.h"
+#include "version/intent_samples.h"
 #include "version/route_plan.h"
 
-#include <algorithm>
-#include <map>
-
 #include <doctest/doctest.h>
 
-#include "core/seeded_random.h"
-#include "version/intent_samples.h"
+#include <algorithm>
+#include <map>
 
 namespace ebonyway {
 
--- a/tests/version/snapshot_test.cpp
+++ b/tests/version/snapshot_test.cpp
@@ -1,10 +1,9 @@
-#include "version/snapshot.h"
-
-#include <doctest/doctest.h>
-
 #include "core/seeded_random.h"
 #include "version/intent_samples.h"
 #include "version/note_samples.h"
+#include "version/snapshot.h"
+
+#include <doctest/doctest.h>
 
 namespace ebonyway {
 
