--- a/packages/process/edge/datagram_socket.cpp
+++ b/packages/process/edge/datagram_socket.cpp
@@ -74,9 +74,16 @@
 
 void datagram_socket::close()
 {
-    if (m_socket.get_handle() != ACE_INVALID_HANDLE) {
-        m_socket.close();
+    if (m_socket.get_handle() == ACE_INVALID_HANDLE) {
+        return;
     }
+    if (reactor() != nullptr) {
+        // The reactor would otherwise reach for this object when it is closed later.
+        reactor()->remove_handler(this,
+                                  ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+        reactor(nullptr);
+    }
+    m_socket.close();
 }
 
 ACE_HANDLE datagram_socket::get_handle() const
--- a/packages/process/edge/reactor_thread.cpp
+++ b/packages/process/edge/reactor_thread.cpp
@@ -27,6 +27,9 @@
 {
     stop();
     m_reactor.cancel_timer(this);
+    m_reactor.purge_pending_notifications(this);
+    // The base class would otherwise use the reactor, which is destroyed before it.
+    reactor(nullptr);
 }
 
 void reactor_thread::setTick(duration interval, task tick)
