Read JSON and platform keys through one piece of code

Found in a read-through: health pages, leases, status objects and settings each had a JSON reader of their own beside parseJsonObject, without its guard against deep nesting. A health page of 5,000 opening brackets made jsoncpp throw on a worker thread, which would end the instance; the new case in health_prober_test showed the exception before and passes now.

--- a/packages/process/edge/health_prober.cpp
+++ b/packages/process/edge/health_prober.cpp
@@ -1,11 +1,9 @@
 #include "process/edge/health_prober.h"
 
 #include "process/edge/http_platform_store.h"
+#include "version/json_text.h"
 #include "version/route_plan.h"
 
-#include <json/reader.h>
-
-#include <memory>
 #include <utility>
 
 namespace ebonyway {
@@ -29,13 +27,11 @@
     load_report report;
     report.backendServer = server;
     report.reachable = true;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    Json::Value page;
-    std::string faults;
-    const bool parsed = reader->parse(body.data(), body.data() + body.size(), &page, &faults);
-    if (!parsed || !page.isObject()) {
+    const result<Json::Value> parsed = parseJsonObject(body);
+    if (!isOk(parsed)) {
         return report;
     }
+    const Json::Value &page = valueOf(parsed);
     report.ready = page["ready"].isBool() && page["ready"].asBool();
     report.openConnections = static_cast<std::uint32_t>(numberIn(page, "open_connections"));
     report.busySlots = static_cast<std::uint32_t>(numberIn(page, "busy_slots"));
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -3,10 +3,9 @@
 #include "process/burn_report.h"
 #include "process/edge/platform_adapter.h"
 #include "process/edge/status_pages.h"
+#include "version/json_text.h"
 #include "version/route_plan.h"
 
-#include <json/writer.h>
-
 #include <future>
 #include <utility>
 
@@ -393,10 +392,8 @@
     m_outcomes.collect(current, allCounters(), now, wall);
     const flow_outcome_log &outcomes = m_outcomes.outcomes();
     const std::vector<service_burn> report = makeBurnReport(current, outcomes, wall);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    m_statusServer.publish("/flow_outcomes", {200, "application/json",
-                                              Json::writeString(builder, outcomes.toJson())});
+    m_statusServer.publish("/flow_outcomes",
+                           {200, "application/json", compactJson(outcomes.toJson())});
     m_statusServer.publish("/burn", {200, "text/plain", burnTable(report)});
     m_statusServer.publish("/burn.svg", {200, "image/svg+xml", burnSvg(report)});
 }
--- a/packages/process/edge/status_pages.cpp
+++ b/packages/process/edge/status_pages.cpp
@@ -5,11 +5,11 @@
 #include "process/edge/traffic_counters.h"
 #include "process/metrics.h"
 #include "process/settings.h"
+#include "version/json_text.h"
 #include "version/release_note.h"
 #include "version/route_plan.h"
 
 #include <json/value.h>
-#include <json/writer.h>
 
 namespace ebonyway {
 
@@ -108,9 +108,7 @@
     page["services"] = slotsJson(summary);
     page["backend_servers"] = serversJson(summary);
     page["problem"] = healthProblem(summary);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, page) + "\n";
+    return compactJson(page) + "\n";
 }
 
 std::string renderMetricsPage(const instance_summary &summary)
--- a/packages/process/fenced_object.cpp
+++ b/packages/process/fenced_object.cpp
@@ -1,8 +1,8 @@
 #include "process/fenced_object.h"
 
-#include <json/json.h>
+#include "version/json_text.h"
 
-#include <memory>
+#include <json/json.h>
 
 namespace ebonyway {
 
@@ -12,12 +12,11 @@
 
 std::optional<Json::Value> parseObject(const std::string &text)
 {
-    Json::Value json;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    const bool isParsed = text.size() <= MaxObjectBytes
-                          && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
-                          && json.isObject();
-    return isParsed ? std::optional(json) : std::nullopt;
+    if (text.size() > MaxObjectBytes) {
+        return std::nullopt;
+    }
+    const result<Json::Value> json = parseJsonObject(text);
+    return isOk(json) ? std::optional(valueOf(json)) : std::nullopt;
 }
 
 std::uint64_t epochOf(const std::string &text)
--- a/packages/process/intent_sync.cpp
+++ b/packages/process/intent_sync.cpp
@@ -1,12 +1,11 @@
 #include "process/intent_sync.h"
 
 #include "process/overloaded.h"
+#include "version/platform_notes.h"
 #include "version/release_note.h"
 #include "version/snapshot.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace ebonyway {
@@ -21,27 +20,6 @@
 constexpr duration MinWatchTime = 1s; ///< A platform whose watches return at once is not flooded.
 constexpr duration AvoidTime = 5s; ///< How long a peer that failed is not asked again.
 constexpr duration PeerRetryDelay = 200ms;
-constexpr std::size_t KeyDigits = 10;
-constexpr const char *NotePrefix = "notes/";
-constexpr const char *SnapshotPrefix = "snapshots/";
-
-std::string keyOf(const char *prefix, note_number number)
-{
-    char digits[24];
-    std::snprintf(digits, sizeof(digits), "%010llu", static_cast<unsigned long long>(number.value));
-    return std::string(prefix) + digits;
-}
-
-std::optional<note_number> numberOf(const std::string &key, const std::string &prefix)
-{
-    if (key.size() != prefix.size() + KeyDigits || key.compare(0, prefix.size(), prefix) != 0) {
-        return std::nullopt;
-    }
-    note_number number;
-    const char *end = key.data() + key.size();
-    const auto parsed = std::from_chars(key.data() + prefix.size(), end, number.value);
-    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
-}
 
 digest_prefix prefixOf(const note_digest &digest)
 {
@@ -414,17 +392,17 @@
 {
     switch (step) {
     case platform_step::ListSnapshots:
-        return list_objects{SnapshotPrefix, ""};
+        return list_objects{SnapshotKeyPrefix, ""};
     case platform_step::GetSnapshot:
-        return get_object{keyOf(SnapshotPrefix, m_listedSnapshot)};
+        return get_object{snapshotKey(m_listedSnapshot)};
     case platform_step::ListNotes:
-        return list_objects{NotePrefix, keyOf(NotePrefix, m_history.head())};
+        return list_objects{NoteKeyPrefix, noteKey(m_history.head())};
     case platform_step::GetNote:
-        return get_object{keyOf(NotePrefix, note_number{m_history.head().value + 1})};
+        return get_object{noteKey(note_number{m_history.head().value + 1})};
     case platform_step::Watch:
         break;
     }
-    return watch_objects{NotePrefix, m_revision,
+    return watch_objects{NoteKeyPrefix, m_revision,
                          std::chrono::duration_cast<std::chrono::milliseconds>(WatchTime)};
 }
 
@@ -473,12 +451,11 @@
 status intent_sync::takeListing(platform_step step, const platform_listing &listing, time_point now)
 {
     const bool isOfSnapshots = step == platform_step::ListSnapshots;
-    const std::string prefix = isOfSnapshots ? SnapshotPrefix : NotePrefix;
+    const std::string prefix = isOfSnapshots ? SnapshotKeyPrefix : NoteKeyPrefix;
     note_number &highest = isOfSnapshots ? m_listedSnapshot : m_listedNote;
     for (const std::string &key : listing.keys) {
-        if (const auto number = numberOf(key, prefix)) {
-            highest = std::max(highest, *number);
-        }
+        const auto number = key.starts_with(prefix) ? numberInKey(key) : std::nullopt;
+        highest = std::max(highest, number.value_or(note_number{}));
     }
     if (isOfSnapshots) {
         m_haveSnapshotsBeenListed = true;
--- a/packages/process/lease.cpp
+++ b/packages/process/lease.cpp
@@ -1,5 +1,7 @@
 #include "process/lease.h"
 
+#include "version/json_text.h"
+
 #include <json/json.h>
 
 #include <memory>
@@ -129,13 +131,15 @@
 
 std::optional<lease::record> lease::decode(const std::string &text)
 {
-    Json::Value json;
-    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-    const bool isParsed = text.size() <= MaxLeaseBytes
-                          && reader->parse(text.data(), text.data() + text.size(), &json, nullptr)
-                          && json.isObject() && json["epoch"].isUInt64() && json["holder"].isUInt()
-                          && json["token"].isString();
-    if (!isParsed) {
+    if (text.size() > MaxLeaseBytes) {
+        return std::nullopt;
+    }
+    const result<Json::Value> parsed = parseJsonObject(text);
+    if (!isOk(parsed)) {
+        return std::nullopt;
+    }
+    const Json::Value &json = valueOf(parsed);
+    if (!json["epoch"].isUInt64() || !json["holder"].isUInt() || !json["token"].isString()) {
         return std::nullopt;
     }
     return record{json["epoch"].asUInt64(), json["holder"].asUInt(), json["token"].asString()};
--- a/packages/process/retry_policy.cpp
+++ b/packages/process/retry_policy.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-retry_policy::retry_policy(retry_limits limits, std::uint64_t seed)
+retry_policy::retry_policy(retry_policy_limits limits, std::uint64_t seed)
     : m_limits(limits)
     , m_random(seed)
     , m_tokens(limits.budget)
--- a/packages/process/retry_policy.h
+++ b/packages/process/retry_policy.h
@@ -6,7 +6,7 @@
 namespace ebonyway {
 
 /** Limits of a retry_policy. */
-struct retry_limits
+struct retry_policy_limits
 {
     duration firstDelay = std::chrono::milliseconds(250);
     duration longestDelay = std::chrono::seconds(10);
@@ -22,7 +22,7 @@
 class retry_policy
 {
 public:
-    retry_policy(retry_limits limits, std::uint64_t seed);
+    retry_policy(retry_policy_limits limits, std::uint64_t seed);
 
     void onSuccess();
     /** Returns the time of the next attempt. */
@@ -33,7 +33,7 @@
 private:
     void earn(time_point now);
 
-    retry_limits m_limits;
+    retry_policy_limits m_limits;
     seeded_random m_random;
     int m_failures = 0; ///< Since the last success.
     double m_tokens;
--- a/packages/process/settings.cpp
+++ b/packages/process/settings.cpp
@@ -1,12 +1,10 @@
 #include "process/settings.h"
 
 #include "process/settings_reader.h"
-
-#include <json/reader.h>
+#include "version/json_text.h"
 
 #include <cctype>
 #include <fstream>
-#include <memory>
 #include <sstream>
 
 namespace ebonyway {
@@ -32,23 +30,6 @@
     return content.str();
 }
 
-result<Json::Value> parseJson(const std::string &file, const std::string &text)
-{
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder["allowComments"] = true;
-    builder["rejectDupKeys"] = true;
-    builder["strictRoot"] = true;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value root;
-    std::string faults;
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, &faults)) {
-        return error{error_kind::InvalidInput, file + ": not valid JSON: " + faults,
-                     "Correct the JSON at the given line; // and /* */ comments are allowed."};
-    }
-    return root;
-}
-
 int hexDigit(char character)
 {
     if (character >= '0' && character <= '9') {
@@ -116,9 +97,11 @@
 
 result<parsed_settings> parseAll(const std::string &file, const std::string &text)
 {
-    const result<Json::Value> root = parseJson(file, text);
+    const result<Json::Value> root = parseJsonObject(text);
     if (!isOk(root)) {
-        return errorOf(root);
+        error fault = errorOf(root);
+        fault.message = file + ": " + fault.message;
+        return fault;
     }
     settings_reader reader(file, "", valueOf(root));
     parsed_settings parsed;
--- a/packages/process/settings_reader.cpp
+++ b/packages/process/settings_reader.cpp
@@ -1,8 +1,7 @@
 #include "process/settings_reader.h"
 
 #include "version/duration_text.h"
-
-#include <json/writer.h>
+#include "version/json_text.h"
 
 #include <algorithm>
 #include <optional>
@@ -18,13 +17,6 @@
     return Empty;
 }
 
-std::string render(const Json::Value &value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 std::string joined(const std::vector<std::string> &choices)
 {
     std::string text;
@@ -59,7 +51,7 @@
 {
     if (!object.isObject()) {
         m_object = &emptyObject();
-        fail("", render(object), "Write a JSON object in braces.");
+        fail("", compactJson(object), "Write a JSON object in braces.");
     }
 }
 
@@ -97,7 +89,7 @@
         return {};
     }
     if (!value->isString() || value->asString().empty()) {
-        fail(key, render(*value), "Write a text in double quotes that is not empty.");
+        fail(key, compactJson(*value), "Write a text in double quotes that is not empty.");
         return {};
     }
     return value->asString();
@@ -114,7 +106,7 @@
             value->isString()
             && std::find(choices.begin(), choices.end(), value->asString()) != choices.end();
     if (!known) {
-        fail(key, render(*value), "Write one of: " + joined(choices) + ".");
+        fail(key, compactJson(*value), "Write one of: " + joined(choices) + ".");
         return fallback;
     }
     return value->asString();
@@ -132,7 +124,7 @@
     const bool fits = value->isIntegral() && value->isUInt64() && value->asUInt64() >= least
                       && value->asUInt64() <= most;
     if (!fits) {
-        fail(key, render(*value), "Write a whole number from " + range + ".");
+        fail(key, compactJson(*value), "Write a whole number from " + range + ".");
         return least;
     }
     return value->asUInt64();
@@ -179,14 +171,14 @@
         return {};
     }
     if (!value->isArray()) {
-        fail(key, render(*value), "Write a list in brackets of \"ADDRESS:PORT\" texts.");
+        fail(key, compactJson(*value), "Write a list in brackets of \"ADDRESS:PORT\" texts.");
         return {};
     }
     std::vector<endpoint> endpoints;
     for (const Json::Value &entry : *value) {
         const result<endpoint> parsed = endpoint::parse(entry.isString() ? entry.asString() : "");
         if (!isOk(parsed)) {
-            fail(key, render(entry), errorOf(parsed).remedy);
+            fail(key, compactJson(entry), errorOf(parsed).remedy);
             continue;
         }
         endpoints.push_back(valueOf(parsed));
@@ -206,11 +198,11 @@
     const result<std::chrono::milliseconds> parsed =
             parseSettingDuration(value->isString() ? value->asString() : "");
     if (!isOk(parsed)) {
-        fail(key, render(*value), errorOf(parsed).remedy);
+        fail(key, compactJson(*value), errorOf(parsed).remedy);
         return fallback;
     }
     if (valueOf(parsed) < least || valueOf(parsed) > most) {
-        fail(key, render(*value),
+        fail(key, compactJson(*value),
              "Write a duration from " + std::to_string(least.count()) + "ms to "
                      + std::to_string(most.count()) + "ms.");
         return fallback;
@@ -243,7 +235,7 @@
             continue;
         }
         const std::vector<std::string> known(m_known.begin(), m_known.end());
-        fail(key, render((*m_object)[key]),
+        fail(key, compactJson((*m_object)[key]),
              "Remove this unknown key or write one of: " + joined(known) + ".");
         return m_faults.front();
     }
--- a/packages/process/singleton_work.cpp
+++ b/packages/process/singleton_work.cpp
@@ -1,10 +1,10 @@
 #include "process/singleton_work.h"
 
+#include "version/platform_notes.h"
+
 #include <json/json.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace ebonyway {
@@ -15,17 +15,9 @@
 
 constexpr const char *LeaseKey = "leases/singleton_work";
 constexpr const char *StatusPrefix = "status/";
-constexpr const char *SnapshotPrefix = "snapshots/";
 /** Members change their note within seconds of each other; one write covers them all. */
 constexpr duration StatusPeriod = 10s;
 
-std::string snapshotKey(note_number number)
-{
-    char digits[24];
-    std::snprintf(digits, sizeof(digits), "%010llu", static_cast<unsigned long long>(number.value));
-    return std::string(SnapshotPrefix) + digits;
-}
-
 std::map<std::string, std::string> statusByDomain(const membership &members)
 {
     std::map<std::string, Json::Value> domains;
@@ -111,7 +103,7 @@
 {
     if (m_listedEpoch != m_lease.epoch()) {
         m_owner = call_owner::SnapshotList;
-        return list_objects{SnapshotPrefix, snapshotKey(m_snapshotNote)};
+        return list_objects{SnapshotKeyPrefix, snapshotKey(m_snapshotNote)};
     }
     const result<intent_snapshot> current = m_snapshots.current();
     if (!isOk(current) || valueOf(current).number.value < m_snapshotNote.value + NotesPerSnapshot) {
@@ -155,9 +147,7 @@
     if (const auto *listing = std::get_if<platform_listing>(&valueOf(outcome))) {
         m_listedEpoch = m_lease.epoch();
         for (const std::string &key : listing->keys) {
-            const std::size_t skipped = std::min(key.size(), std::string(SnapshotPrefix).size());
-            note_number number;
-            std::from_chars(key.data() + skipped, key.data() + key.size(), number.value);
+            const note_number number = numberInKey(key).value_or(note_number{});
             m_snapshotNote = std::max(m_snapshotNote, number);
         }
     } else if (std::holds_alternative<platform_version>(valueOf(outcome))) {
--- a/packages/version/platform_notes.cpp
+++ b/packages/version/platform_notes.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::size_t KeyDigits = 10;
-const std::string NotePrefix = "notes/";
-const std::string SnapshotPrefix = "snapshots/";
 
 std::string numberedKey(const std::string &prefix, note_number number)
 {
@@ -36,12 +34,12 @@
 
 std::string noteKey(note_number number)
 {
-    return numberedKey(NotePrefix, number);
+    return numberedKey(NoteKeyPrefix, number);
 }
 
 std::string snapshotKey(note_number number)
 {
-    return numberedKey(SnapshotPrefix, number);
+    return numberedKey(SnapshotKeyPrefix, number);
 }
 
 std::optional<note_number> numberInKey(const std::string &key)
@@ -97,7 +95,7 @@
 
 result<std::vector<note_number>> platform_notes::listNotes()
 {
-    return listNumbers(NotePrefix);
+    return listNumbers(NoteKeyPrefix);
 }
 
 result<std::string> platform_notes::readValue(const std::string &key)
@@ -139,7 +137,7 @@
 
 result<route_plan> platform_notes::readNewestSnapshot()
 {
-    const result<std::vector<note_number>> numbers = listNumbers(SnapshotPrefix);
+    const result<std::vector<note_number>> numbers = listNumbers(SnapshotKeyPrefix);
     if (!isOk(numbers)) {
         return errorOf(numbers);
     }
--- a/packages/version/platform_notes.h
+++ b/packages/version/platform_notes.h
@@ -11,6 +11,10 @@
 
 namespace ebonyway {
 
+/** Prefixes of the keys of release notes and of snapshots. */
+constexpr const char *NoteKeyPrefix = "notes/";
+constexpr const char *SnapshotKeyPrefix = "snapshots/";
+
 /** Returns the key of a release note, for example "notes/0000000042". */
 std::string noteKey(note_number number);
 
--- a/tests/process/edge/health_prober_test.cpp
+++ b/tests/process/edge/health_prober_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 namespace ebonyway {
 
 namespace {
@@ -31,8 +34,16 @@
 TEST_CASE_FIXTURE(health_page_fixture, "health page, malformed or misleading types, is not ready")
 {
     // Guards against a broken endpoint that stops the prober or counts as healthy.
-    for (const std::string body : {"", "ok", "[]", "{\"ready\":\"yes\"}", "{\"ready\":1}",
-                                   "{\"open_connections\":-4,\"busy_slots\":1e300}"}) {
+    const std::vector<std::string> bodies{
+            "",
+            "ok",
+            "[]",
+            "{\"ready\":\"yes\"}",
+            "{\"ready\":1}",
+            "{\"open_connections\":-4,\"busy_slots\":1e300}",
+            std::string(5000, '['),
+    };
+    for (const std::string &body : bodies) {
         CAPTURE(body);
         const load_report report = parse(body);
         CHECK(report.reachable);
