Derive a plan's tunnel endpoints once, and look a service up only to count

Every membership change rebuilt the table of tunnel endpoints of all backend servers, although it depends only on the plan; it is now built when a note is adopted and shared. The traffic thread looked up the service of every packet and read the TCP header of every answer twice, and now does so only for packets that are counted.

--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -302,6 +302,7 @@
     }
     log(log_level::Info, "note_adopted", {{"note", number.value}});
     m_core.onIntentAdopted(m_intents.plan()->currentIntent());
+    m_servers = std::make_shared<const server_directory>(m_intents.plan());
     publishTrafficView();
     m_home.adoptPlan(m_intents.plan());
 }
@@ -340,7 +341,7 @@
 void instance_daemon::publishTrafficView()
 {
     auto view = std::make_shared<traffic_view>();
-    view->adoptPlan(m_intents.plan());
+    view->servers = m_servers;
     for (const member &known : m_view.members) {
         const member_profile *profile = m_core.profileOf(known.id);
         if (!profile) {
--- a/packages/process/edge/instance_daemon.h
+++ b/packages/process/edge/instance_daemon.h
@@ -113,6 +113,7 @@
     outcome_collector m_outcomes;
 
     cluster_view m_view;
+    std::shared_ptr<const server_directory> m_servers = std::make_shared<server_directory>();
     engine_status m_engine;
     bool m_announcedReady = false;
     std::atomic<bool> m_stopRequested = false;
--- a/packages/process/edge/traffic_view.h
+++ b/packages/process/edge/traffic_view.h
@@ -13,19 +13,15 @@
 
 class route_plan;
 
-/**
- * Where a traffic thread sends packets. Built by the control thread and handed to each traffic
- * thread, which then owns its copy; reading it takes no lock.
- */
-struct traffic_view
+/** The tunnel endpoints of a plan's backend servers, derived once for each plan. */
+struct server_directory
 {
+    server_directory() = default;
+    explicit server_directory(std::shared_ptr<const route_plan> newPlan);
+
     std::shared_ptr<const route_plan> plan; ///< Null until a release note is in force.
     std::vector<endpoint> tunnels; ///< Indexed by backend server id; port 0 if there is none.
     std::map<endpoint, backend_server_id> senders; ///< Tunnel endpoint to backend server.
-    std::unordered_map<instance_id, endpoint> relays; ///< Relay ports of peers.
-
-    /** Fills tunnels and senders from the plan. */
-    void adoptPlan(std::shared_ptr<const route_plan> newPlan);
 
     /** Returns the tunnel endpoint of a backend server, if it has one. */
     std::optional<endpoint> tunnelOf(backend_server_id id) const;
@@ -34,4 +30,15 @@
     std::optional<backend_server_id> senderAt(const endpoint &from) const;
 };
 
+/**
+ * Where a traffic thread sends packets. Built by the control thread and handed to each traffic
+ * thread, which then owns its copy; reading it takes no lock. Membership changes replace only the
+ * relays and share the directory.
+ */
+struct traffic_view
+{
+    std::shared_ptr<const server_directory> servers = std::make_shared<server_directory>();
+    std::unordered_map<instance_id, endpoint> relays; ///< Relay ports of peers.
+};
+
 } // namespace ebonyway
--- a/packages/process/edge/traffic_worker.cpp
+++ b/packages/process/edge/traffic_worker.cpp
@@ -20,22 +20,20 @@
     RelayPort,
 };
 
-bool isSynAck(const packet_view &packet)
+bool isSynAck(const tcp_segment &segment)
 {
-    const std::optional<tcp_segment> segment = tcpSegmentOf(packet);
     constexpr std::uint8_t SynAck = tcp_flag::Syn | tcp_flag::Ack;
-    return segment && (segment->flags & SynAck) == SynAck;
+    return (segment.flags & SynAck) == SynAck;
 }
 
 /**
  * Returns whether a RST refuses a SYN: it then has ACK set and sequence number 0 (RFC 9293
  * 3.10.7.1). Other RSTs also follow flows that ended well, so they say nothing about failures.
  */
-bool isConnectionRefusal(const packet_view &packet)
+bool isConnectionRefusal(const tcp_segment &segment)
 {
-    const std::optional<tcp_segment> segment = tcpSegmentOf(packet);
     constexpr std::uint8_t RstAck = tcp_flag::Rst | tcp_flag::Ack;
-    return segment && (segment->flags & RstAck) == RstAck && segment->sequence == 0;
+    return (segment.flags & RstAck) == RstAck && segment.sequence == 0;
 }
 
 } // namespace
@@ -145,7 +143,7 @@
 
 void traffic_worker::onAnswer(std::span<const std::byte> bytes, const endpoint &from)
 {
-    const std::optional<backend_server_id> sender = m_view->senderAt(from);
+    const std::optional<backend_server_id> sender = m_view->servers->senderAt(from);
     if (!sender) {
         traffic_counters::add(m_counters.answersCrossed);
         return;
@@ -177,14 +175,16 @@
 
 void traffic_worker::apply(const forward_action &action, const packet_view &packet)
 {
-    const std::optional<endpoint> tunnel = m_view->tunnelOf(action.backendServer);
+    const std::optional<endpoint> tunnel = m_view->servers->tunnelOf(action.backendServer);
     if (!tunnel) {
         m_counters.countDrop(drop_reason::NoServerAvailable);
         return;
     }
     countSent(m_fabric.send(*tunnel, packet.bytes), m_counters.forwarded);
-    const std::optional<service_id> service = serviceOf(packet);
-    if (action.firstPacket && service) {
+    if (!action.firstPacket) {
+        return;
+    }
+    if (const std::optional<service_id> service = serviceOf(packet)) {
         traffic_counters::add(m_counters.service(*service).offered);
     }
 }
@@ -215,8 +215,10 @@
 void traffic_worker::apply(const drop_action &action, const packet_view &packet)
 {
     m_counters.countDrop(action.reason);
-    const std::optional<service_id> service = serviceOf(packet);
-    if (service && packet.kind == packet_kind::TcpSyn) {
+    if (packet.kind != packet_kind::TcpSyn) {
+        return;
+    }
+    if (const std::optional<service_id> service = serviceOf(packet)) {
         const auto reason = static_cast<std::size_t>(action.reason);
         traffic_counters::add(m_counters.service(*service).dropped[reason]);
     }
@@ -226,15 +228,15 @@
 {
     traffic_counters::add(m_counters.answersPassed);
     sendToFabric(packet.bytes);
-    const std::optional<service_id> service = serviceOf(packet);
-    if (!service) {
+    const std::optional<tcp_segment> segment = tcpSegmentOf(packet);
+    const bool refuses = segment && isConnectionRefusal(*segment);
+    const bool answers = packet.kind == packet_kind::Udp || (segment && isSynAck(*segment));
+    if (!refuses && !answers) {
         return;
     }
-    if (isConnectionRefusal(packet)) {
-        traffic_counters::add(m_counters.service(*service).resetByServer);
-    }
-    if (isSynAck(packet) || packet.kind == packet_kind::Udp) {
-        traffic_counters::add(m_counters.service(*service).answered);
+    if (const std::optional<service_id> service = serviceOf(packet)) {
+        service_traffic &traffic = m_counters.service(*service);
+        traffic_counters::add(refuses ? traffic.resetByServer : traffic.answered);
     }
 }
 
@@ -270,7 +272,8 @@
 
 std::optional<service_id> traffic_worker::serviceOf(const packet_view &packet) const
 {
-    return m_view->plan ? m_view->plan->serviceFor(packet.key) : std::nullopt;
+    const auto &plan = m_view->servers->plan;
+    return plan ? plan->serviceFor(packet.key) : std::nullopt;
 }
 
 } // namespace ebonyway
