Bound the system tests by counts and build seeded drivers in one place

The polls of the system tests ended at a wall-clock deadline of 30 s; they now end after a number of attempts (600 polls of at least 50 ms, 60 sends), so a busy machine does not change the verdict. The assertions are the same. 23 scenario tests built a driver from a seed by the same three lines.

--- a/tests/connection/flow_engine_scenario_test.cpp
+++ b/tests/connection/flow_engine_scenario_test.cpp
@@ -46,11 +46,17 @@
     }
 };
 
-/** Number of flows that a planned drain breaks with the given strategy. */
-driver_counts runDrain(strategy_kind strategy, std::uint64_t seed, double crossedAnswers = 0)
+driver_options seededOptions(std::uint64_t seed)
 {
     driver_options options;
     options.seed = seed;
+    return options;
+}
+
+/** Number of flows that a planned drain breaks with the given strategy. */
+driver_counts runDrain(strategy_kind strategy, std::uint64_t seed, double crossedAnswers = 0)
+{
+    driver_options options = seededOptions(seed);
     options.crossedAnswers = crossedAnswers;
     options.strategy = strategy;
     engine_driver driver(options);
@@ -67,9 +73,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 100s);
         driver.run(20s);
         CHECK(driver.unsettledSlots() == 0);
@@ -119,9 +123,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 60s);
         driver.run(20s);
         driver.addServer(TcpService, failure_domain_id{1});
@@ -135,9 +137,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 90s);
         driver.run(20s);
         driver.setWeight(backend_server_id{2}, 20);
@@ -154,9 +154,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 100s);
         driver.run(20s);
         driver.setInService(failure_domain_id{0}, false);
@@ -175,9 +173,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 60s);
         driver.run(20s);
         driver.crash(2);
@@ -194,9 +190,7 @@
         for (const duration delay : {4s, 15s, 40s}) {
             CAPTURE(seed);
             CAPTURE(delay.count());
-            driver_options options;
-            options.seed = seed;
-            engine_driver driver(options);
+            engine_driver driver(seededOptions(seed));
             startTraffic(driver, 90s);
             driver.run(20s);
             driver.setDraining(backend_server_id{3}, true);
@@ -215,9 +209,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 90s);
         driver.run(20s);
         driver.setDraining(backend_server_id{3}, true);
@@ -235,9 +227,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 90s);
         driver.run(20s);
         driver.setDraining(backend_server_id{3}, true);
@@ -256,9 +246,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         driver.startFlows(30, 90s, 10, 1s, UdpService);
         driver.run(20s);
         driver.setDraining(backend_server_id{15}, true);
@@ -273,9 +261,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 90s);
         driver.run(20s);
         driver.setDraining(backend_server_id{3}, true);
@@ -294,9 +280,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 120s);
         driver.run(15s);
         driver.setDraining(backend_server_id{3}, true);
@@ -323,9 +307,7 @@
         for (const duration length : {3s, 20s}) {
             CAPTURE(seed);
             CAPTURE(length.count());
-            driver_options options;
-            options.seed = seed;
-            engine_driver driver(options);
+            engine_driver driver(seededOptions(seed));
             startTraffic(driver, 90s);
             driver.run(20s);
             driver.freeze(seed, length);
@@ -343,8 +325,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
+        driver_options options = seededOptions(seed);
         options.packetLoss = 0.05;
         engine_driver driver(options);
         driver.synAnswerDelay = 1500ms;
@@ -364,9 +345,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 60s);
         driver.run(20s);
         for (const std::size_t server : {3, 7, 3}) {
@@ -386,8 +365,7 @@
 {
     for (const std::uint64_t seed : {1, 2, 3}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
+        driver_options options = seededOptions(seed);
         // Retransmissions are up to 25.6 s apart; a shorter timeout would end waiting flows.
         options.idleTimeout = 60s;
         engine_driver driver(options);
@@ -417,9 +395,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         driver.startFlows(60, 50s, 2, 200ms);
         driver.run(10s);
         driver.cut(failure_domain_id{1}, true);
@@ -439,9 +415,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         driver.run(5s);
         driver.cut(failure_domain_id{1}, true);
         driver.callersReachOnly = failure_domain_id{1};
@@ -473,8 +447,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
+        driver_options options = seededOptions(seed);
         options.probationCapacity = 256;
         options.establishedCapacity = 2'000;
         engine_driver driver(options);
@@ -502,8 +475,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
+        driver_options options = seededOptions(seed);
         options.probationCapacity = 256;
         options.establishedCapacity = 2'000;
         engine_driver driver(options);
@@ -527,9 +499,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 60s);
         driver.run(10s);
         driver.admission.limited = {backend_server_id{2}};
@@ -553,8 +523,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
+        driver_options options = seededOptions(seed);
         options.packetLoss = 0.02;
         engine_driver driver(options);
         driver.startFlows(60, 60s, 3, 200ms);
@@ -581,9 +550,7 @@
 {
     for (const std::uint64_t seed : {1, 2}) {
         CAPTURE(seed);
-        driver_options options;
-        options.seed = seed;
-        engine_driver driver(options);
+        engine_driver driver(seededOptions(seed));
         startTraffic(driver, 60s);
         driver.run(20s);
         driver.admission.dead = {backend_server_id{2}};
--- a/tests/system/daemon_session_test.cpp
+++ b/tests/system/daemon_session_test.cpp
@@ -20,8 +20,11 @@
 // Below the ports that the kernel gives to outgoing connections.
 constexpr std::uint16_t BasePort = 29000;
 
-// Polls and receives give up after this long, so that a fault ends the test instead of hanging it.
-constexpr std::chrono::seconds GiveUp{30};
+// Attempts after which a fault ends the test instead of hanging it. Counts, not deadlines, so that
+// a busy machine does not change the verdict.
+constexpr int PollAttempts = 600;
+constexpr int SendAttempts = 60;
+constexpr std::chrono::milliseconds PollDelay{50};
 
 // Callers and servers send again after this time, so that a stalled instance does not fail a test.
 const ACE_Time_Value ResendAfter(0, 500'000);
@@ -135,21 +138,29 @@
         return isOk(readHttpPage(status, "/healthz", 500ms));
     }
 
-    static void waitUntilHealthy(int instance)
+    /** Polls a condition. Returns whether it held before the attempts ran out. */
+    template <typename Condition>
+    static bool becomesTrue(Condition condition)
     {
-        const auto end = std::chrono::steady_clock::now() + GiveUp;
-        while (!isHealthy(instance) && std::chrono::steady_clock::now() < end) {
-            std::this_thread::sleep_for(50ms);
+        for (int i = 0; i < PollAttempts; ++i) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(PollDelay);
         }
-        REQUIRE(isHealthy(instance));
+        return false;
+    }
+
+    static void waitUntilHealthy(int instance)
+    {
+        REQUIRE(becomesTrue([instance] { return isHealthy(instance); }));
     }
 
     /** Sends a packet until it arrives. Returns false if another new packet arrives instead. */
     bool carries(peer_socket &from, const endpoint &instance, const std::vector<std::byte> &packet,
                  peer_socket &to)
     {
-        const auto end = std::chrono::steady_clock::now() + GiveUp;
-        while (std::chrono::steady_clock::now() < end) {
+        for (int i = 0; i < SendAttempts; ++i) {
             from.send(instance, packet);
             const std::vector<std::byte> received = to.receive();
             if (received == packet) {
@@ -211,16 +222,10 @@
     platform.close();
     running_instance alone(1, "casa-ain", 1);
     const endpoint status = local(15);
-    result<std::string> page = readHttpPage(status, "/status", 500ms);
-    const auto end = std::chrono::steady_clock::now() + GiveUp;
-    const auto saysWhy = [&page] {
+    CHECK(becomesTrue([status] {
+        const result<std::string> page = readHttpPage(status, "/status", 500ms);
         return isOk(page) && valueOf(page).find("no release note in force") != std::string::npos;
-    };
-    while (!saysWhy() && std::chrono::steady_clock::now() < end) {
-        std::this_thread::sleep_for(50ms);
-        page = readHttpPage(status, "/status", 500ms);
-    }
-    CHECK(saysWhy());
+    }));
     CHECK_FALSE(isHealthy(1));
 }
 
