--- a/packages/version/duration_text.cpp
+++ b/packages/core/duration_text.cpp
@@ -1,4 +1,4 @@
-#include "version/duration_text.h"
+#include "core/duration_text.h"
 
 #include <array>
 #include <charconv>
--- a/packages/core/ip_address.h
+++ b/packages/core/ip_address.h
@@ -5,7 +5,9 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <string_view>
 
 namespace ebonyway {
 
@@ -55,3 +57,14 @@
 };
 
 } // namespace ebonyway
+
+template <>
+struct std::hash<ebonyway::endpoint>
+{
+    std::size_t operator()(const ebonyway::endpoint &at) const noexcept
+    {
+        const std::string_view bytes(reinterpret_cast<const char *>(at.address.bytes.data()),
+                                     at.address.bytes.size());
+        return std::hash<std::string_view>{}(bytes) ^ at.port;
+    }
+};
--- a/packages/version/json_text.cpp
+++ b/packages/core/json_text.cpp
@@ -1,4 +1,4 @@
-#include "version/json_text.h"
+#include "core/json_text.h"
 
 #include <json/reader.h>
 #include <json/writer.h>
--- a/packages/process/settings_reader.cpp
+++ b/packages/core/settings_reader.cpp
@@ -1,7 +1,7 @@
-#include "process/settings_reader.h"
+#include "core/settings_reader.h"
 
-#include "version/duration_text.h"
-#include "version/json_text.h"
+#include "core/duration_text.h"
+#include "core/json_text.h"
 
 #include <algorithm>
 #include <optional>
--- a/packages/ebonyway/operator_commands.cpp
+++ b/packages/ebonyway/operator_commands.cpp
@@ -1,7 +1,7 @@
 #include "ebonyway/operator_commands.h"
 
+#include "core/json_text.h"
 #include "process/burn_report.h"
-#include "version/json_text.h"
 #include "version/release_note.h"
 #include "version/route_plan.h"
 #include "version/text_table.h"
--- /dev/null
+++ b/packages/ebonywayd/forwarding_instance.cpp
@@ -0,0 +1,77 @@
+#include "ebonywayd/forwarding_instance.h"
+
+#include "core/precondition.h"
+#include "core/text_file.h"
+#include "ebonywayd/exit_codes.h"
+#include "forwarding/edge/forwarding_daemon.h"
+#include "platform/platform_frame.h"
+#include "telemetry/event_log.h"
+
+#include <csignal>
+#include <cstdio>
+
+namespace {
+
+// Signal handlers cannot take arguments, so the running daemon is reached through this pointer.
+ebonyway::forwarding_daemon *runningDaemon = nullptr;
+
+void onSignal(int signal)
+{
+    if (!runningDaemon) {
+        return;
+    }
+    if (signal == SIGHUP) {
+        runningDaemon->requestReload();
+        return;
+    }
+    runningDaemon->requestStop();
+}
+
+int printFault(const ebonyway::error &fault, int exitCode)
+{
+    std::fprintf(stderr, "ebonywayd: %s\n", ebonyway::describe(fault).c_str());
+    return exitCode;
+}
+
+int runDaemon(const ebonyway::forwarding_settings &options, const std::string &file)
+{
+    ebonyway::log4cxx_event_log log(options.logLevel, "",
+                                    ebonyway::log4cxx_event_log::delivery::Buffered);
+    const ebonyway::platform::platform_frame frame;
+    ebonyway::forwarding_daemon daemon(frame, options, file, log);
+    runningDaemon = &daemon;
+    const ebonyway::status started = daemon.start();
+    if (!ebonyway::isOk(started)) {
+        runningDaemon = nullptr;
+        return printFault(ebonyway::errorOf(started), ExitUnavailable);
+    }
+    daemon.run();
+    runningDaemon = nullptr;
+    return ExitOk;
+}
+
+} // namespace
+
+int runForwardingInstance(const std::string &settingsFile, bool checkOnly)
+{
+    // Handlers come first: a signal during the start would otherwise end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGHUP, onSignal);
+    const std::string file =
+            settingsFile.empty() ? ebonyway::platform::settingsPath() : settingsFile;
+    const auto text = ebonyway::readTextFile(file);
+    if (!ebonyway::isOk(text)) {
+        return printFault(ebonyway::errorOf(text), ExitInvalidSettings);
+    }
+    const auto options = ebonyway::parseForwardingSettings(file, ebonyway::valueOf(text));
+    if (!ebonyway::isOk(options)) {
+        return printFault(ebonyway::errorOf(options), ExitInvalidSettings);
+    }
+    if (checkOnly) {
+        std::printf("%s: settings are valid\n", file.c_str());
+        return ExitOk;
+    }
+    return runDaemon(ebonyway::valueOf(options), file);
+}
--- /dev/null
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -0,0 +1,308 @@
+#include "forwarding/connection/forwarder.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Used until a desired state names its own.
+constexpr duration DefaultIdleTimeout = 15s;
+
+// Callers send two copies of an opening packet; the second one is the last chance to answer.
+constexpr std::uint32_t LastCopy = 2;
+
+/** Compares sequence numbers, which wrap around. */
+bool isAfter(std::uint32_t left, std::uint32_t right)
+{
+    return static_cast<std::int32_t>(left - right) > 0;
+}
+
+} // namespace
+
+forwarder::forwarder(forwarder_options options, forwarding_observer &observer)
+    : m_placement(std::move(options.failureDomain), options.seed)
+    , m_observer(observer)
+    , m_flows(options.flowCapacity)
+{ }
+
+void forwarder::adopt(std::shared_ptr<const directory> known)
+{
+    if (m_known) {
+        for (const directory_server &server : known->servers()) {
+            const directory_server *before = m_known->byToken(server.token);
+            if (before && before->entry.startedAt != server.entry.startedAt) {
+                // It has started again under its old id, so what was seen of it no longer holds.
+                m_evidence.forget(server.entry.key);
+            }
+        }
+    }
+    m_known = std::move(known);
+}
+
+void forwarder::setInstances(std::size_t count)
+{
+    m_coldStarts.setInstances(count);
+}
+
+void forwarder::setPeerLoads(const std::vector<server_load> &loads)
+{
+    for (const auto &[key, state] : m_evidence.all()) {
+        if (state.peersBusy + state.peersOpen > 0) {
+            m_evidence.setPeerLoad(key, 0, 0);
+        }
+    }
+    for (const server_load &load : loads) {
+        m_evidence.setPeerLoad(load.server, load.busy, load.open);
+    }
+}
+
+std::vector<server_load> forwarder::loads() const
+{
+    std::vector<server_load> loads;
+    for (const auto &[key, state] : m_evidence.all()) {
+        if (state.open + state.opening == 0) {
+            continue;
+        }
+        loads.push_back({key, state.busy + state.opening, state.open + state.opening});
+    }
+    return loads;
+}
+
+forwarding_decision forwarder::decide(const flow_packet &packet, time_point now)
+{
+    if (!m_known) {
+        return refuse(packet, refusal_reason::NotReady, false);
+    }
+    if (packet.opens && packet.acknowledges) {
+        // Only backend servers answer an opening packet, and their packets do not pass here.
+        return refuse(packet, refusal_reason::Malformed, false);
+    }
+    return packet.opens ? decideOpening(packet, now) : decideOpen(packet, now);
+}
+
+forwarding_decision forwarder::decideOpening(const flow_packet &packet, time_point now)
+{
+    flow_record *record = m_flows.find(packet.flow);
+    const bool isCopy = packet.acknowledged > 0;
+    const auto found = m_known->routes().routes.find(packet.flow.service);
+    if (found == m_known->routes().routes.end()) {
+        // Another instance may have forwarded an earlier copy, so the flow may be open already.
+        return refuse(packet, refusal_reason::NoRoute, !isCopy);
+    }
+    if (record && record->state == flow_record::phase::Open) {
+        const directory_server *server = m_known->byToken(tokenOf(record->server));
+        if (server) {
+            return forward_packet{server->entry.key, server->entry.address, server->token};
+        }
+    }
+    if (record && record->state == flow_record::phase::Opening && record->offerCount > 0) {
+        if (!isCopy) {
+            // The network doubled the packet.
+            const directory_server *server = m_known->byToken(tokenOf(record->server));
+            if (server) {
+                return forward_packet{server->entry.key, server->entry.address, server->token};
+            }
+        }
+        m_evidence.onSilence(record->server, now);
+    }
+    return offer(packet, found->second, record, now);
+}
+
+forwarding_decision forwarder::offer(const flow_packet &packet, const route &to,
+                                     flow_record *record, time_point now)
+{
+    const std::string *service = m_placement.chooseService(to);
+    if (!service) {
+        return refuse(packet, refusal_reason::NoServerUsable, packet.acknowledged == 0);
+    }
+    const bool offeredBefore = record && record->offerCount > 0;
+    const auto choice = m_placement.choose(*m_known, m_evidence, m_coldStarts, *service,
+                                           offeredBefore ? record : nullptr, now);
+    const directory_server *server = choice ? choice->server : nullptr;
+    if (!server && offeredBefore) {
+        // Nobody else is left; the first choice may have lost a packet.
+        server = m_known->byToken(tokenOf(record->server));
+        if (server && !server->acceptsNewFlows()) {
+            server = nullptr;
+        }
+    }
+    if (!server) {
+        return holdOrRefuse(packet, *service, record, now);
+    }
+    if (now < server->coldUntil) {
+        const auto limits = m_known->routes().services.find(*service);
+        m_coldStarts.spend(server->entry.key, limits->second.coldRequestsPerSecond, now);
+    }
+    if (!record) {
+        record = m_flows.add(packet.flow, now);
+    }
+    if (record) {
+        record->state = flow_record::phase::Opening;
+        record->server = server->entry.key;
+        record->offeredAt = now;
+        record->lastSeen = now;
+        if (record->offerCount < MaxOffers) {
+            record->offers[record->offerCount++] = server->entry.key;
+        }
+        m_evidence.onOffer(server->entry.key, now);
+    }
+    m_observer.onPlacement({packet.flow, *service, server->entry.key, server->entry.address,
+                            server->token, choice ? choice->tier : placement_tier::SetAside,
+                            choice ? choice->load : 0.0, choice ? choice->candidates : 0,
+                            packet.acknowledged, m_known->serial(), m_known->routes().version});
+    return forward_packet{server->entry.key, server->entry.address, server->token};
+}
+
+forwarding_decision forwarder::holdOrRefuse(const flow_packet &packet, const std::string &service,
+                                            flow_record *record, time_point now)
+{
+    const bool isCopy = packet.acknowledged > 0;
+    if (m_known->candidates(service).empty()) {
+        const bool seenFromTheStart = record && record->offerCount == 0;
+        return refuse(packet, refusal_reason::NoServerUsable, !isCopy || seenFromTheStart);
+    }
+    // Cold backend servers take no more flows right now; a later copy may find room.
+    if (!record && !isCopy) {
+        record = m_flows.add(packet.flow, now);
+    }
+    const bool neverOffered = record && record->offerCount == 0;
+    return refuse(packet, refusal_reason::Overloaded,
+                  neverOffered && packet.acknowledged >= LastCopy);
+}
+
+forwarding_decision forwarder::decideOpen(const flow_packet &packet, time_point now)
+{
+    if (m_known->routes().withdrawn.contains(packet.flow.service)) {
+        return refuse(packet, refusal_reason::RouteWithdrawn, !packet.resets);
+    }
+    const directory_server *server = m_known->byToken(packet.token);
+    if (!server) {
+        return refuse(packet, refusal_reason::UnknownToken, false);
+    }
+    follow(packet, server->entry.key, now);
+    return forward_packet{server->entry.key, server->entry.address, server->token};
+}
+
+void forwarder::follow(const flow_packet &packet, server_key server, time_point now)
+{
+    flow_record *record = m_flows.find(packet.flow);
+    if (!record) {
+        if (packet.finishes || packet.resets) {
+            return;
+        }
+        record = m_flows.add(packet.flow, now);
+        if (!record) {
+            return;
+        }
+        record->state = flow_record::phase::Open;
+        record->server = server;
+        record->acknowledged = packet.acknowledged;
+        record->nextSequence = packet.sequence;
+        m_evidence.addOpen(server, 1);
+    } else if (record->state == flow_record::phase::Opening) {
+        onFirstPacketAfterOpening(packet, *record, server, now);
+    }
+    record->lastSeen = now;
+    if (record->state == flow_record::phase::Finished) {
+        return;
+    }
+    followData(packet, *record, now);
+    if (packet.finishes || packet.resets) {
+        finish(*record);
+    }
+}
+
+void forwarder::onFirstPacketAfterOpening(const flow_packet &packet, flow_record &record,
+                                          server_key server, time_point now)
+{
+    if (record.offerCount > 0) {
+        if (record.server == server) {
+            m_evidence.onAnswer(server, now);
+        } else {
+            // An earlier offer was answered late; nothing is known about the last one.
+            m_evidence.onWithdrawnOffer(record.server);
+            m_evidence.onProgress(server, now);
+        }
+    }
+    record.state = flow_record::phase::Open;
+    record.server = server;
+    record.acknowledged = packet.acknowledged;
+    record.nextSequence = packet.sequence;
+    m_evidence.addOpen(server, 1);
+    m_observer.onOpened(packet.flow, server, now - record.firstSeen);
+}
+
+void forwarder::followData(const flow_packet &packet, flow_record &record, time_point now)
+{
+    if (isAfter(packet.acknowledged, record.acknowledged)) {
+        record.acknowledged = packet.acknowledged;
+        record.repeats = 0;
+        m_evidence.onProgress(record.server, now);
+        if (record.busy) {
+            record.busy = false;
+            m_evidence.addBusy(record.server, -1);
+        }
+    }
+    if (packet.dataLength == 0) {
+        return;
+    }
+    const std::uint32_t end = packet.sequence + packet.dataLength;
+    if (!isAfter(end, record.nextSequence)) {
+        ++record.repeats;
+        return;
+    }
+    record.nextSequence = end;
+    if (!record.busy) {
+        record.busy = true;
+        m_evidence.addBusy(record.server, 1);
+    }
+}
+
+void forwarder::finish(flow_record &record)
+{
+    if (record.state != flow_record::phase::Open) {
+        return;
+    }
+    record.state = flow_record::phase::Finished;
+    m_evidence.addOpen(record.server, -1);
+    if (record.busy) {
+        record.busy = false;
+        m_evidence.addBusy(record.server, -1);
+    }
+}
+
+forwarding_decision forwarder::refuse(const flow_packet &packet, refusal_reason reason, bool reset)
+{
+    m_observer.onRefusal({packet.flow, reason, reset, packet.opens, packet.token,
+                          m_known ? m_known->serial() : 0,
+                          m_known ? m_known->routes().version : 0});
+    if (reset) {
+        return reset_flow{reason};
+    }
+    return drop_packet{reason};
+}
+
+void forwarder::tick(time_point now)
+{
+    duration idleTimeout = DefaultIdleTimeout;
+    if (m_known && m_known->routes().idleTimeout > 0ms) {
+        idleTimeout = m_known->routes().idleTimeout;
+    }
+    for (flow_record &record : m_flows.removeIdle(now, idleTimeout)) {
+        if (record.state == flow_record::phase::Opening && record.offerCount > 0) {
+            m_evidence.onSilence(record.server, now);
+        }
+        finish(record);
+    }
+    m_coldStarts.removeIdle(now);
+    for (const trust_change &change : m_evidence.takeChanges()) {
+        m_observer.onTrustChange(change);
+    }
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/connection/forwarder.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "forwarding/connection/cold_start_budget.h"
+#include "forwarding/connection/flow_table.h"
+#include "forwarding/connection/placement.h"
+#include "forwarding/connection/server_evidence.h"
+#include "forwarding/request/forwarding_decision.h"
+#include "forwarding/version/directory.h"
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ebonyway {
+
+/** A new flow, or a further offer of one, that was given to a backend server. */
+struct placement_record
+{
+    flow_id flow;
+    std::string service;
+    server_key server;
+    endpoint address;
+    flow_token token;
+    placement_tier tier = placement_tier::Warm;
+    double load = 0;
+    std::size_t candidates = 0;
+    std::uint32_t copy = 0; ///< How many opening packets the caller had sent before.
+    std::uint64_t directorySerial = 0;
+    std::uint64_t desiredVersion = 0;
+};
+
+/** A packet that was answered by a reset, or dropped before its flow opened. */
+struct refusal_record
+{
+    flow_id flow;
+    refusal_reason reason = refusal_reason::NoRoute;
+    bool reset = false; ///< Otherwise the packet was dropped.
+    bool opening = false;
+    flow_token token;
+    std::uint64_t directorySerial = 0;
+    std::uint64_t desiredVersion = 0;
+};
+
+/** Receives the decisions that touch a flow, for logs and metrics. */
+class forwarding_observer
+{
+public:
+    virtual ~forwarding_observer() = default;
+
+    virtual void onPlacement(const placement_record &record) = 0;
+    virtual void onRefusal(const refusal_record &record) = 0;
+    virtual void onTrustChange(const trust_change &change) = 0;
+    /** The flow opened this long after its first opening packet was seen here. */
+    virtual void onOpened(const flow_id &flow, server_key server, duration after) = 0;
+};
+
+/** Load of one backend server as this instance causes it. */
+struct server_load
+{
+    server_key server;
+    std::uint32_t busy = 0;
+    std::uint32_t open = 0;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(server, busy, open);
+    }
+};
+
+/** Settings of the forwarder. */
+struct forwarder_options
+{
+    std::string failureDomain; ///< Of this instance.
+    std::uint64_t seed = 0;
+    std::size_t flowCapacity = 65'536;
+};
+
+/**
+ * Decides what happens to each packet of a caller. Open flows follow the token in their packets;
+ * only new flows are placed. Runs on a traffic thread; holds no sockets and reads no clock.
+ */
+class forwarder
+{
+public:
+    forwarder(forwarder_options options, forwarding_observer &observer);
+
+    /** Takes over new knowledge. Open flows stay where they are. */
+    void adopt(std::shared_ptr<const directory> known);
+
+    forwarding_decision decide(const flow_packet &packet, time_point now);
+
+    /** Ends flows that fell silent and reports changed verdicts. Call it several times a second. */
+    void tick(time_point now);
+
+    /** Sets how many instances share the rates of cold backend servers. */
+    void setInstances(std::size_t count);
+    /** Sets what all other instances together send to each backend server. */
+    void setPeerLoads(const std::vector<server_load> &loads);
+
+    std::vector<server_load> loads() const;
+    std::size_t flowCount() const { return m_flows.size(); }
+    const server_evidence &evidence() const { return m_evidence; }
+
+private:
+    forwarding_decision decideOpening(const flow_packet &packet, time_point now);
+    forwarding_decision decideOpen(const flow_packet &packet, time_point now);
+    forwarding_decision offer(const flow_packet &packet, const route &to, flow_record *record,
+                              time_point now);
+    forwarding_decision refuse(const flow_packet &packet, refusal_reason reason, bool reset);
+    forwarding_decision holdOrRefuse(const flow_packet &packet, const std::string &service,
+                                     flow_record *record, time_point now);
+
+    void follow(const flow_packet &packet, server_key server, time_point now);
+    void onFirstPacketAfterOpening(const flow_packet &packet, flow_record &record,
+                                   server_key server, time_point now);
+    void followData(const flow_packet &packet, flow_record &record, time_point now);
+    void finish(flow_record &record);
+
+    placement m_placement;
+    forwarding_observer &m_observer;
+    std::shared_ptr<const directory> m_known;
+    flow_table m_flows;
+    server_evidence m_evidence;
+    cold_start_budget m_coldStarts;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/connection/server_condition.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace ebonyway {
+
+/** What an instance has seen of one backend server through the packets of its callers. */
+struct server_condition
+{
+    std::uint32_t opening = 0; ///< Flows offered and not yet opened.
+    std::uint32_t open = 0;
+    std::uint32_t busy = 0; ///< Open flows whose request is not answered yet.
+    std::uint32_t silences = 0; ///< Offers in a row that stayed unanswered.
+    std::uint32_t failures = 0; ///< Periods set aside in a row.
+    std::optional<time_point> oldestOffer; ///< Of the offers that wait for an answer.
+    std::optional<time_point> setAsideUntil;
+    bool trialUnderWay = false; ///< One flow was offered after the period set aside.
+    time_point lastAnswer; ///< When a caller last showed that the server had answered.
+    std::uint64_t peersBusy = 0; ///< Busy flows that other instances report.
+    std::uint64_t peersOpen = 0;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/edge/decision_log.cpp
@@ -0,0 +1,80 @@
+#include "forwarding/edge/decision_log.h"
+
+#include <chrono>
+#include <cstdio>
+
+namespace ebonyway {
+
+std::string flowText(const flow_id &flow)
+{
+    return flow.caller.toString() + ">" + flow.service.toString();
+}
+
+std::string serverText(server_key server)
+{
+    char text[20] = {};
+    std::snprintf(text, sizeof(text), "%llx", static_cast<unsigned long long>(server.value));
+    return text;
+}
+
+std::string tokenText(flow_token token)
+{
+    char text[12] = {};
+    std::snprintf(text, sizeof(text), "%08x", token.value);
+    return text;
+}
+
+decision_log::decision_log(event_log &log, forwarding_counters &counters, metrics_registry &metrics)
+    : m_log(log)
+    , m_counters(counters)
+    , m_metrics(metrics)
+{ }
+
+void decision_log::onPlacement(const placement_record &record)
+{
+    ++m_counters.placements[static_cast<std::size_t>(record.tier)];
+    m_log.write({log_level::Info,
+                 "flow_offered",
+                 {{"flow", flowText(record.flow)},
+                  {"service", record.service},
+                  {"backend_server", serverText(record.server)},
+                  {"address", record.address.toString()},
+                  {"token", tokenText(record.token)},
+                  {"tier", std::string(placementTierName(record.tier))},
+                  {"load", record.load},
+                  {"candidates", std::uint64_t{record.candidates}},
+                  {"copy", std::uint64_t{record.copy}},
+                  {"directory", record.directorySerial},
+                  {"desired_version", record.desiredVersion}}});
+}
+
+void decision_log::onRefusal(const refusal_record &record)
+{
+    auto &counters = record.reset ? m_counters.resets : m_counters.drops;
+    ++counters[static_cast<std::size_t>(record.reason)];
+    m_log.write({log_level::Info,
+                 record.reset ? "flow_reset" : "packet_dropped",
+                 {{"flow", flowText(record.flow)},
+                  {"reason", std::string(refusalReasonName(record.reason))},
+                  {"opening", record.opening},
+                  {"token", tokenText(record.token)},
+                  {"directory", record.directorySerial},
+                  {"desired_version", record.desiredVersion}}});
+}
+
+void decision_log::onTrustChange(const trust_change &change)
+{
+    ++m_counters.verdicts;
+    m_log.write({log_level::Warn,
+                 change.setAside ? "backend_server_set_aside" : "backend_server_answers_again",
+                 {{"backend_server", serverText(change.server)},
+                  {"silences", std::uint64_t{change.silences}}}});
+}
+
+void decision_log::onOpened(const flow_id &, server_key, duration after)
+{
+    ++m_counters.opened;
+    m_metrics.observe("flow_open_seconds", std::chrono::duration<double>(after).count());
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/edge/decision_log.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "forwarding/connection/forwarder.h"
+#include "forwarding/edge/forwarding_counters.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
+
+#include <string>
+
+namespace ebonyway {
+
+/** Writes the decisions that touch a flow to the log and counts them. */
+class decision_log : public forwarding_observer
+{
+public:
+    decision_log(event_log &log, forwarding_counters &counters, metrics_registry &metrics);
+
+    void onPlacement(const placement_record &record) override;
+    void onRefusal(const refusal_record &record) override;
+    void onTrustChange(const trust_change &change) override;
+    void onOpened(const flow_id &flow, server_key server, duration after) override;
+
+private:
+    event_log &m_log;
+    forwarding_counters &m_counters;
+    metrics_registry &m_metrics;
+};
+
+/** Returns "caller>service", the id of a flow in logs. */
+std::string flowText(const flow_id &flow);
+
+/** Returns a backend server's key in hex digits, as in its id. */
+std::string serverText(server_key server);
+
+/** Returns a token in hex digits. */
+std::string tokenText(flow_token token);
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/edge/forwarding_counters.cpp
@@ -0,0 +1,34 @@
+#include "forwarding/edge/forwarding_counters.h"
+
+namespace ebonyway {
+
+namespace {
+
+void append(std::vector<metric_sample> &samples, const char *name,
+            const std::atomic<std::uint64_t> &value, std::vector<metric_label> labels = {})
+{
+    samples.push_back({name, std::move(labels), static_cast<double>(value.load())});
+}
+
+} // namespace
+
+void forwarding_counters::appendTo(std::vector<metric_sample> &samples) const
+{
+    append(samples, "packets_total", packets);
+    append(samples, "forwarded_total", forwarded);
+    append(samples, "send_failures_total", sendFailures);
+    append(samples, "flows_opened_total", opened);
+    append(samples, "flows_remembered", flows);
+    append(samples, "backend_server_verdicts_total", verdicts);
+    for (std::size_t i = 0; i < placements.size(); ++i) {
+        append(samples, "offers_total", placements[i],
+               {{"tier", placementTierName(static_cast<placement_tier>(i))}});
+    }
+    for (std::size_t i = 0; i < resets.size(); ++i) {
+        const std::string reason = refusalReasonName(static_cast<refusal_reason>(i));
+        append(samples, "resets_total", resets[i], {{"reason", reason}});
+        append(samples, "drops_total", drops[i], {{"reason", reason}});
+    }
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "forwarding/edge/frame_adapter.h"
+#include "forwarding/edge/traffic_loop.h"
+#include "forwarding/process/forwarding_settings.h"
+#include "forwarding/process/pause_detector.h"
+#include "forwarding/process/planned_stop.h"
+#include "forwarding/process/store_follower.h"
+#include "forwarding/version/directory_builder.h"
+#include "io/http_listener.h"
+#include "io/reactor_thread.h"
+#include "telemetry/bounded_event_log.h"
+#include "telemetry/metrics.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace ebonyway {
+
+/**
+ * An instance that forwards flows by tokens. The control thread, which calls run(), follows the
+ * store and answers status pages; the traffic thread forwards packets.
+ */
+class forwarding_daemon
+{
+public:
+    /** `settingsFile` is read again when it changes. */
+    forwarding_daemon(const frame_adapter &frame, forwarding_settings options,
+                      std::string settingsFile, event_log &log);
+    ~forwarding_daemon();
+
+    /** Binds all ports and starts the traffic thread. Fails with Unavailable. */
+    status start();
+    /** Runs the control loop until a requested stop has finished. */
+    void run();
+
+    /** Safe from a signal handler. */
+    void requestStop() { m_stopRequested = true; }
+    void requestReload() { m_reloadRequested = true; }
+
+private:
+    void tick();
+    void followStore(time_point now);
+    void checkPause(time_point now);
+    void checkSettings(time_point now);
+    void advanceStop(time_point now);
+    void onStoreAnswer(store_kind kind, const store_answer &answer);
+    void publishKnowledge();
+    void logChanges();
+
+    http_page readinessPage(const std::string &path) const;
+    http_page metricsPage(const std::string &path) const;
+    bool isReady() const;
+
+    const frame_adapter &m_frame;
+    forwarding_settings m_options;
+    std::string m_settingsFile;
+    bounded_event_log m_log;
+    metrics_registry m_metrics;
+    directory_builder m_knowledge;
+    store_follower m_follower;
+    planned_stop m_stop;
+    pause_detector m_pauses;
+    reactor_thread m_control;
+    http_listener m_readiness;
+    http_listener m_metricsListener;
+    std::unique_ptr<store_port> m_store;
+    traffic_loop m_traffic;
+
+    std::atomic<bool> m_stopRequested = false;
+    std::atomic<bool> m_reloadRequested = false;
+    bool m_published = false;
+    time_point m_startedAt;
+    time_point m_nextSlowTick;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -0,0 +1,102 @@
+#include "forwarding/edge/traffic_loop.h"
+
+#include <chrono>
+#include <utility>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Finds overdue offers and idle flows; callers repeat an opening packet after 200 ms.
+constexpr duration TickInterval = 200ms;
+
+} // namespace
+
+traffic_loop::traffic_loop(const frame_adapter &frame, forwarder_options options, event_log &log,
+                           metrics_registry &metrics, load_sink onLoads)
+    : m_frame(frame)
+    , m_decisions(log, m_counters, metrics)
+    , m_forwarder(std::move(options), m_decisions)
+    , m_onLoads(std::move(onLoads))
+    , m_socket(*this, 0)
+{ }
+
+status traffic_loop::start(const endpoint &local)
+{
+    status opened = m_socket.open(local, false);
+    if (!isOk(opened)) {
+        return opened;
+    }
+    m_callerPort = local.port;
+    m_socket.attach(m_thread.loop());
+    m_thread.setTick(TickInterval, [this] { tick(); });
+    m_thread.start();
+    return std::monostate{};
+}
+
+void traffic_loop::stop()
+{
+    m_thread.stop();
+    m_socket.close();
+}
+
+void traffic_loop::adopt(std::shared_ptr<const directory> known)
+{
+    m_thread.post([this, known = std::move(known)] { m_forwarder.adopt(known); });
+}
+
+void traffic_loop::setPeerLoads(std::vector<server_load> loads, std::size_t instances)
+{
+    m_thread.post([this, loads = std::move(loads), instances] {
+        m_forwarder.setPeerLoads(loads);
+        m_forwarder.setInstances(instances);
+    });
+}
+
+void traffic_loop::onDatagram(int, std::span<const std::byte> bytes, const endpoint &)
+{
+    ++m_counters.packets;
+    const auto packet = m_frame.decodePacket(bytes);
+    if (!packet) {
+        m_decisions.onRefusal({{}, refusal_reason::Malformed, false, false, {}, 0, 0});
+        return;
+    }
+    const time_point now = std::chrono::steady_clock::now();
+    m_lastPacket = now.time_since_epoch().count();
+    carryOut(m_forwarder.decide(*packet, now), *packet, bytes);
+}
+
+void traffic_loop::carryOut(const forwarding_decision &decision, const flow_packet &packet,
+                            std::span<const std::byte> bytes)
+{
+    if (const auto *forward = std::get_if<forward_packet>(&decision)) {
+        m_frame.encodeForServer(bytes, forward->server, forward->token, m_buffer);
+        ++m_counters.forwarded;
+        send(forward->address);
+        return;
+    }
+    if (std::holds_alternative<reset_flow>(decision)) {
+        m_frame.encodeReset(packet, m_buffer);
+        send(endpoint{packet.flow.caller.address, m_callerPort});
+    }
+}
+
+void traffic_loop::send(const endpoint &to)
+{
+    if (!m_socket.send(to, m_buffer.bytes())) {
+        // Callers repeat what is lost, so a full send buffer is counted and not retried.
+        ++m_counters.sendFailures;
+    }
+}
+
+void traffic_loop::tick()
+{
+    const time_point now = std::chrono::steady_clock::now();
+    m_forwarder.tick(now);
+    m_counters.flows = m_forwarder.flowCount();
+    m_onLoads(m_forwarder.loads());
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "forwarding/connection/forwarder.h"
+#include "forwarding/edge/decision_log.h"
+#include "forwarding/edge/forwarding_counters.h"
+#include "forwarding/edge/frame_adapter.h"
+#include "io/datagram_socket.h"
+#include "io/reactor_thread.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace ebonyway {
+
+/** The traffic thread: receives callers' packets and carries out the forwarder's decisions. */
+class traffic_loop : private datagram_receiver
+{
+public:
+    /** Receives this instance's load on the traffic thread. */
+    using load_sink = std::function<void(std::vector<server_load>)>;
+
+    traffic_loop(const frame_adapter &frame, forwarder_options options, event_log &log,
+                 metrics_registry &metrics, load_sink onLoads);
+
+    /** Binds the socket and starts the thread. Fails with Unavailable. */
+    status start(const endpoint &local);
+    void stop();
+
+    /** These may be called from any thread. */
+    void adopt(std::shared_ptr<const directory> known);
+    void setPeerLoads(std::vector<server_load> loads, std::size_t instances);
+    time_point lastPacket() const { return time_point(duration(m_lastPacket.load())); }
+    const forwarding_counters &counters() const { return m_counters; }
+
+private:
+    void onDatagram(int tag, std::span<const std::byte> bytes, const endpoint &from) override;
+    void carryOut(const forwarding_decision &decision, const flow_packet &packet,
+                  std::span<const std::byte> bytes);
+    void send(const endpoint &to);
+    void tick();
+
+    const frame_adapter &m_frame;
+    forwarding_counters m_counters;
+    decision_log m_decisions;
+    forwarder m_forwarder;
+    load_sink m_onLoads;
+    reactor_thread m_thread;
+    datagram_socket m_socket;
+    std::uint16_t m_callerPort = 0; ///< Callers receive at the port that this instance listens on.
+    datagram_buffer m_buffer;
+    std::atomic<duration::rep> m_lastPacket = 0;
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/process/forwarding_settings.cpp
@@ -0,0 +1,49 @@
+#include "forwarding/process/forwarding_settings.h"
+
+#include "core/json_text.h"
+#include "core/settings_reader.h"
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t LeastFlows = 1'024;
+constexpr std::uint64_t MostFlows = 2'000'000;
+
+} // namespace
+
+result<forwarding_settings> parseForwardingSettings(const std::string &file,
+                                                    const std::string &text)
+{
+    const result<Json::Value> root = parseJsonObject(text);
+    if (!isOk(root)) {
+        error fault = errorOf(root);
+        fault.message = file + ": " + fault.message;
+        return fault;
+    }
+    settings_reader reader(file, "", valueOf(root));
+    forwarding_settings settings;
+    settings.instance = reader.text("instance");
+    settings.failureDomain = reader.text("failure_domain");
+    settings.traffic = reader.addressWithPort("traffic");
+    settings.readiness = reader.addressWithPort("readiness");
+    settings.metrics = reader.addressWithPort("metrics");
+    settings.peers = reader.addressWithPort("peers");
+    settings.seeds = reader.addressesWithPort("seeds");
+    settings.store = reader.addressWithPort("store");
+    settings.heartbeat = reader.durationOr("heartbeat", 50ms, 60s, settings.heartbeat);
+    settings.stopGrace = reader.durationOr("stop_grace", 100ms, 10min, settings.stopGrace);
+    settings.flowCapacity = static_cast<std::uint32_t>(
+            reader.integerOr("flow_capacity", LeastFlows, MostFlows, settings.flowCapacity));
+    settings.logLevel =
+            reader.choice("log_level", {"debug", "info", "warn", "error"}, settings.logLevel);
+    const status outcome = reader.finish();
+    if (!isOk(outcome)) {
+        return errorOf(outcome);
+    }
+    return settings;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/process/store_follower.cpp
@@ -0,0 +1,221 @@
+#include "forwarding/process/store_follower.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The store answers in milliseconds and may be sixty times slower; the rest is for a slow link.
+constexpr duration ListTimeout = 2s;
+
+// The watch of this kind also shows whether the store answers at all. The platform's bounds for
+// drains and desired states are 3 s, so a store that has fallen silent must be noticed sooner.
+constexpr store_kind ProbeKind = store_kind::DesiredState;
+constexpr duration ProbeWait = 1500ms;
+constexpr duration ProbeTimeout = 2500ms;
+
+// Every return of a watch is a priced call, so the other watches wait long.
+constexpr duration WatchWait = 25s;
+constexpr duration WatchTimeout = 27s;
+
+// Calls to a store that is down are priced too. A second at most between tries keeps the time
+// until changes arrive again well below the platform's bounds of 3 s.
+constexpr duration FirstRetry = 200ms;
+constexpr duration LongestRetry = 1s;
+
+// Entries lapse after three heartbeats, so a shorter interruption cannot have made any lapse.
+constexpr duration ShortestLapsingOutage = 1s;
+
+} // namespace
+
+const char *storeFailureName(store_failure::cause cause)
+{
+    switch (cause) {
+    case store_failure::cause::HistoryGone:
+        return "history_gone";
+    case store_failure::cause::TurnedAway:
+        return "turned_away";
+    case store_failure::cause::Unreachable:
+        return "unreachable";
+    case store_failure::cause::Unreadable:
+        return "unreadable";
+    }
+    return "unreachable";
+}
+
+store_follower::store_follower(directory_builder &knowledge, std::uint64_t seed)
+    : m_knowledge(knowledge)
+    , m_random(seed)
+{ }
+
+store_call store_follower::callFor(store_kind kind, const follow_state &state) const
+{
+    store_call call;
+    call.kind = kind;
+    if (state.at == stage::Listing) {
+        call.after = state.after;
+        call.timeout = ListTimeout;
+        return call;
+    }
+    call.watch = true;
+    call.revision = state.revision;
+    call.wait = kind == ProbeKind ? ProbeWait : WatchWait;
+    call.timeout = kind == ProbeKind ? ProbeTimeout : WatchTimeout;
+    return call;
+}
+
+store_step store_follower::next(time_point now)
+{
+    store_step step;
+    if (std::exchange(m_renewAll, false)) {
+        for (const store_kind kind : AllStoreKinds) {
+            if (std::exchange(stateOf(kind).outstanding, false)) {
+                step.cancels.push_back(kind);
+            }
+        }
+    }
+    if (m_lostSince && now < m_retryAt) {
+        return step;
+    }
+    for (const store_kind kind : AllStoreKinds) {
+        if (m_lostSince && kind != ProbeKind) {
+            continue;
+        }
+        follow_state &state = stateOf(kind);
+        if (state.outstanding) {
+            continue;
+        }
+        store_call call = callFor(kind, state);
+        if (m_lostSince && call.watch) {
+            // A list answers at once, so it shows sooner than a watch that the store is back.
+            call = store_call{kind, false, 0, {}, {}, ListTimeout};
+            restartList(state);
+        }
+        state.outstanding = true;
+        step.calls.push_back(call);
+    }
+    return step;
+}
+
+void store_follower::restartList(follow_state &state)
+{
+    state.at = stage::Listing;
+    state.after.clear();
+    state.listed.clear();
+    state.firstPage = true;
+}
+
+void store_follower::onAnswer(store_kind kind, const store_answer &answer, time_point now)
+{
+    stateOf(kind).outstanding = false;
+    if (const auto *failure = std::get_if<store_failure>(&answer)) {
+        onFailure(kind, *failure, now);
+        return;
+    }
+    noteAnswer(kind, now);
+    onPage(kind, std::get<store_page>(answer), now);
+}
+
+void store_follower::noteAnswer(store_kind kind, time_point now)
+{
+    m_lastAnswer = now;
+    m_failures = 0;
+    if (!m_lostSince) {
+        return;
+    }
+    const duration outage = now - *m_lostSince;
+    m_lostSince.reset();
+    if (outage >= ShortestLapsingOutage) {
+        m_knowledge.onStoreRegained(now);
+    }
+    m_events.push_back({"store_regained", kind, "", stateOf(kind).revision, outage});
+}
+
+void store_follower::onPage(store_kind kind, const store_page &page, time_point now)
+{
+    follow_state &state = stateOf(kind);
+    for (const store_object &object : page.objects) {
+        auto changes = m_knowledge.apply(kind, object, now);
+        std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
+        if (state.at == stage::Listing) {
+            state.listed.insert(object.name);
+        }
+    }
+    if (state.at == stage::Watching) {
+        state.revision = std::max(state.revision, page.revision);
+        return;
+    }
+    if (std::exchange(state.firstPage, false)) {
+        // Changes during a list of several pages are told again by the watch that follows.
+        state.listRevision = page.revision;
+    }
+    if (page.more && !page.lastName.empty()) {
+        state.after = page.lastName;
+        return;
+    }
+    auto changes = m_knowledge.retainListed(kind, state.listed, state.listRevision, now);
+    std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
+    m_events.push_back({"store_listed",
+                        kind,
+                        std::to_string(state.listed.size()) + " objects",
+                        state.listRevision,
+                        {}});
+    state.at = stage::Watching;
+    state.revision = state.listRevision;
+    state.listed.clear();
+}
+
+void store_follower::onFailure(store_kind kind, const store_failure &failure, time_point now)
+{
+    follow_state &state = stateOf(kind);
+    if (failure.reason == store_failure::cause::HistoryGone) {
+        // The store answers, but the changes since the last one are lost: read everything anew.
+        noteAnswer(kind, now);
+        restartList(state);
+        m_events.push_back({"store_history_gone", kind, failure.detail, state.revision, {}});
+        return;
+    }
+    if (state.at == stage::Listing) {
+        restartList(state);
+    }
+    if (!m_lostSince) {
+        m_lostSince = now;
+        m_events.push_back({"store_lost",
+                            kind,
+                            std::string(storeFailureName(failure.reason)) + ": " + failure.detail,
+                            state.revision,
+                            {}});
+        // Watches that wait at a store which has stopped answering may never return.
+        m_renewAll = true;
+        m_retryAt = now;
+        return;
+    }
+    ++m_failures;
+    const duration pause =
+            std::min<duration>(LongestRetry, FirstRetry * (1 << std::min(m_failures, 4U)));
+    // Spreads the tries of all instances over the pause.
+    m_retryAt = now + pause / 2 + std::chrono::duration_cast<duration>(pause / 2 * m_random.unit());
+}
+
+void store_follower::renew(time_point)
+{
+    m_renewAll = true;
+}
+
+std::vector<directory_change> store_follower::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::vector<store_event> store_follower::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -0,0 +1,272 @@
+#include "forwarding/version/directory_builder.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The platform promises that lapsed entries of living servers return within about two seconds.
+constexpr duration ReRegistrationTime = 2200ms;
+
+// A server may serve its open flows for many seconds after its entry is gone, and the platform
+// bounds the age of a flow by 60 s.
+constexpr duration DepartedRetention = 90s;
+
+// A server becomes cold shortly before its evacuation ends and says so in its next report, which
+// is on its way for up to a heartbeat and a store call.
+constexpr double ReportsUntilColdIsKnown = 1.5;
+
+std::string describeServer(const backend_server_entry &entry)
+{
+    return entry.service + " at " + entry.address.toString() + " in " + entry.failureDomain
+           + (entry.draining ? ", draining" : ", ready") + ", cold for "
+           + std::to_string(entry.coldRemaining.count()) + " ms";
+}
+
+} // namespace
+
+directory_builder::directory_builder(directory_times times)
+    : m_times(times)
+{ }
+
+std::vector<directory_change> directory_builder::apply(store_kind kind, const store_object &object,
+                                                       time_point now)
+{
+    switch (kind) {
+    case store_kind::DesiredState:
+        return applyDesiredState(object);
+    case store_kind::BackendServers:
+        return applyServer(object, now);
+    case store_kind::Evacuations:
+        return applyEvacuation(object, now);
+    }
+    return {};
+}
+
+std::vector<directory_change> directory_builder::applyServer(const store_object &object,
+                                                             time_point now)
+{
+    const auto found = m_servers.find(object.name);
+    if (found != m_servers.end() && object.revision <= found->second.server.revision) {
+        return {};
+    }
+    const auto *entry = object.value ? std::get_if<backend_server_entry>(&*object.value) : nullptr;
+    if (!entry) {
+        const bool unusable = !object.deleted;
+        if (found == m_servers.end()) {
+            if (!unusable) {
+                return {};
+            }
+            return {{"backend_server_entry_ignored", object.name, object.revision, object.fault}};
+        }
+        directory_change change = removeServer(object.name, found->second, object.revision, now);
+        if (unusable) {
+            // An entry that cannot be read says nothing about a lapse: the server is not usable.
+            found->second.server.standing = server_standing::Departed;
+            found->second.lapsesAt.reset();
+            found->second.departedAt = now;
+            change.event = "backend_server_entry_unusable";
+            change.detail = object.fault;
+        }
+        return {change};
+    }
+    known_server &known = m_servers[object.name];
+    known.server.entry = *entry;
+    known.server.revision = object.revision;
+    known.server.token = tokenOf(entry->key);
+    known.server.standing = entry->draining ? server_standing::Draining : server_standing::Usable;
+    known.server.coldUntil = now + entry->coldRemaining;
+    known.lapsesAt.reset();
+    known.departedAt.reset();
+    return {{"backend_server_updated", object.name, object.revision, describeServer(*entry)}};
+}
+
+directory_change directory_builder::removeServer(const std::string &name, known_server &known,
+                                                 std::uint64_t revision, time_point now)
+{
+    known.server.revision = std::max(known.server.revision, revision);
+    const bool mayReturn = m_lapseGraceUntil && now < *m_lapseGraceUntil
+                           && known.server.standing == server_standing::Usable;
+    if (mayReturn) {
+        known.lapsesAt = *m_lapseGraceUntil;
+        return {"backend_server_lapsed", name, revision,
+                "its entry lapsed during an outage of the store; it may register again"};
+    }
+    known.server.standing = server_standing::Departed;
+    known.departedAt = now;
+    return {"backend_server_departed", name, revision, "its entry is gone"};
+}
+
+std::vector<directory_change> directory_builder::applyDesiredState(const store_object &object)
+{
+    if (object.revision <= m_routesRevision) {
+        return {};
+    }
+    const auto *state = object.value ? std::get_if<desired_state>(&*object.value) : nullptr;
+    if (!state) {
+        return {{"desired_state_ignored", object.name, object.revision,
+                 object.deleted ? "it was deleted; the last version stays in force"
+                                : object.fault}};
+    }
+    m_routesRevision = object.revision;
+    if (m_routes && state->version <= m_routes->version) {
+        return {{"desired_state_ignored", object.name, object.revision,
+                 "version " + std::to_string(state->version) + " is not newer than "
+                         + std::to_string(m_routes->version)}};
+    }
+    auto table = std::make_shared<route_table>();
+    table->version = state->version;
+    table->idleTimeout = state->idleTimeout;
+    for (const route &item : state->routes) {
+        table->routes.emplace(item.address, item);
+    }
+    for (const service_limits &limits : state->services) {
+        table->services.emplace(limits.name, limits);
+    }
+    if (m_routes) {
+        table->withdrawn = m_routes->withdrawn;
+        for (const auto &[address, item] : m_routes->routes) {
+            table->withdrawn.insert(address);
+        }
+        for (const auto &[address, item] : table->routes) {
+            table->withdrawn.erase(address);
+        }
+    }
+    m_routes = std::move(table);
+    return {{"desired_state_adopted", object.name, object.revision,
+             "version " + std::to_string(state->version) + ", "
+                     + std::to_string(state->routes.size()) + " routes"}};
+}
+
+std::vector<directory_change> directory_builder::applyEvacuation(const store_object &object,
+                                                                 time_point now)
+{
+    const std::string &domain = object.name;
+    const auto started = m_evacuations.find(domain);
+    const auto ended = m_endedEvacuations.find(domain);
+    const std::uint64_t known = std::max(started == m_evacuations.end() ? 0 : started->second,
+                                         ended == m_endedEvacuations.end() ? 0 : ended->second);
+    if (object.revision <= known) {
+        return {};
+    }
+    if (!object.deleted) {
+        m_evacuations[domain] = object.revision;
+        return {{"evacuation_started", domain, object.revision, object.fault}};
+    }
+    m_endedEvacuations[domain] = object.revision;
+    if (started == m_evacuations.end()) {
+        return {};
+    }
+    m_evacuations.erase(started);
+    warmUpAfterEvacuation(domain, now);
+    return {{"evacuation_ended", domain, object.revision, ""}};
+}
+
+void directory_builder::warmUpAfterEvacuation(const std::string &failureDomain, time_point now)
+{
+    const auto reportDelay = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(m_times.heartbeat) * ReportsUntilColdIsKnown);
+    for (auto &[name, known] : m_servers) {
+        if (known.server.entry.failureDomain != failureDomain) {
+            continue;
+        }
+        const duration cold = coldDurationOf(known.server.entry.service);
+        known.server.coldUntil = std::max(known.server.coldUntil, now + reportDelay + cold);
+    }
+}
+
+duration directory_builder::coldDurationOf(const std::string &service) const
+{
+    if (!m_routes) {
+        return duration::zero();
+    }
+    const auto limits = m_routes->services.find(service);
+    return limits == m_routes->services.end() ? duration::zero() : limits->second.coldDuration;
+}
+
+std::vector<directory_change> directory_builder::retainListed(store_kind kind,
+                                                              const std::set<std::string> &listed,
+                                                              std::uint64_t listRevision,
+                                                              time_point now)
+{
+    std::vector<directory_change> changes;
+    if (kind == store_kind::BackendServers) {
+        m_serversListed = true;
+        for (auto &[name, known] : m_servers) {
+            if (listed.contains(name) || known.server.revision > listRevision || known.departedAt
+                || known.lapsesAt) {
+                continue;
+            }
+            changes.push_back(removeServer(name, known, listRevision, now));
+        }
+    }
+    if (kind == store_kind::Evacuations) {
+        std::vector<std::string> ended;
+        for (const auto &[domain, revision] : m_evacuations) {
+            if (!listed.contains(domain) && revision <= listRevision) {
+                ended.push_back(domain);
+            }
+        }
+        for (const std::string &domain : ended) {
+            store_object gone{
+                    domain, std::max(listRevision, m_evacuations[domain] + 1), true, {}, {}};
+            for (directory_change &change : applyEvacuation(gone, now)) {
+                changes.push_back(std::move(change));
+            }
+        }
+    }
+    return changes;
+}
+
+void directory_builder::onStoreRegained(time_point now)
+{
+    m_lapseGraceUntil = now + ReRegistrationTime;
+}
+
+std::vector<directory_change> directory_builder::expire(time_point now)
+{
+    std::vector<directory_change> changes;
+    for (auto it = m_servers.begin(); it != m_servers.end();) {
+        known_server &known = it->second;
+        if (known.lapsesAt && now >= *known.lapsesAt) {
+            known.lapsesAt.reset();
+            known.server.standing = server_standing::Departed;
+            known.departedAt = now;
+            changes.push_back({"backend_server_departed", it->first, known.server.revision,
+                               "it did not register again after the outage of the store"});
+        }
+        if (known.departedAt && now - *known.departedAt > DepartedRetention) {
+            it = m_servers.erase(it);
+            continue;
+        }
+        ++it;
+    }
+    return changes;
+}
+
+std::shared_ptr<const directory> directory_builder::snapshot()
+{
+    std::vector<directory_server> servers;
+    servers.reserve(m_servers.size());
+    std::map<flow_token, server_key> owners;
+    for (const auto &[name, known] : m_servers) {
+        const auto owner = owners.emplace(known.server.token, known.server.entry.key).first;
+        // Every instance must resolve a token to the same server, so the lowest key owns it.
+        owner->second = std::min(owner->second, known.server.entry.key);
+    }
+    for (const auto &[name, known] : m_servers) {
+        directory_server server = known.server;
+        server.evacuated = m_evacuations.contains(server.entry.failureDomain);
+        server.ambiguousToken = owners[server.token] != server.entry.key;
+        servers.push_back(std::move(server));
+    }
+    return std::make_shared<directory>(
+            ++m_serial, m_routes ? m_routes : std::make_shared<route_table>(), std::move(servers));
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/version/store_objects.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/ip_address.h"
+#include "forwarding/request/flow_packet.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ebonyway {
+
+/** Kinds of objects that an instance follows in the platform's store. */
+enum class store_kind : std::uint8_t {
+    DesiredState,
+    BackendServers,
+    Evacuations,
+};
+
+constexpr std::size_t StoreKindCount = 3;
+constexpr store_kind AllStoreKinds[] = {store_kind::DesiredState, store_kind::BackendServers,
+                                        store_kind::Evacuations};
+
+/** Returns the stable lower-case name of a kind for logs. */
+const char *storeKindName(store_kind kind);
+
+/** What a backend server says of itself. */
+struct backend_server_entry
+{
+    server_key key;
+    std::string service;
+    endpoint address;
+    std::string failureDomain;
+    std::uint32_t slots = 1; ///< Requests that it works on at the same time.
+    bool draining = false;
+    std::chrono::milliseconds coldRemaining{0}; ///< Counted from when the entry was written.
+    std::chrono::milliseconds startedAt{0}; ///< Wall time since 1970; changes with each start.
+
+    bool operator==(const backend_server_entry &) const = default;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        auto cold = coldRemaining.count();
+        auto started = startedAt.count();
+        archive(key, service, address, failureDomain, slots, draining, cold, started);
+        coldRemaining = std::chrono::milliseconds(cold);
+        startedAt = std::chrono::milliseconds(started);
+    }
+};
+
+/** A service that new flows of a route may go to, with its share. */
+struct service_share
+{
+    std::string service;
+    std::uint32_t weight = 1;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(service, weight);
+    }
+};
+
+/** Where new flows to one public address and port go. */
+struct route
+{
+    std::string name;
+    endpoint address;
+    std::vector<service_share> shares;
+    std::uint32_t priority = 0; ///< Zero is the most important.
+    std::chrono::milliseconds goal{0}; ///< Response time that callers expect.
+    std::chrono::milliseconds timeout{0}; ///< Response time after which the answer is worthless.
+};
+
+/** What the desired state says of a service. */
+struct service_limits
+{
+    std::string name;
+    std::uint32_t maxConnections = 0; ///< Per backend server; zero means unlimited.
+    std::chrono::milliseconds coldDuration{0};
+    double coldRequestsPerSecond = 0; ///< That a cold backend server bears, over all instances.
+};
+
+/** The operators' desired state. Versions increase. */
+struct desired_state
+{
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service_limits> services;
+    std::chrono::milliseconds idleTimeout{0}; ///< A flow that is silent for longer has ended.
+};
+
+/** A failure domain whose backend servers get no new flows. */
+struct evacuation
+{
+    std::string failureDomain;
+};
+
+using store_value = std::variant<desired_state, backend_server_entry, evacuation>;
+
+/** One object, or the news that it is gone. */
+struct store_object
+{
+    std::string name;
+    std::uint64_t revision = 0; ///< Of its last change.
+    bool deleted = false;
+    std::optional<store_value> value; ///< Empty if deleted, or if `fault` says why it is unusable.
+    std::string fault;
+};
+
+/** Answer to a list or watch call. */
+struct store_page
+{
+    std::vector<store_object> objects;
+    std::uint64_t revision = 0; ///< Of the store when it answered.
+    bool more = false; ///< Of a list: continue after the last name.
+    std::string lastName;
+};
+
+} // namespace ebonyway
--- a/packages/process/edge/datagram_socket.cpp
+++ b/packages/io/datagram_socket.cpp
@@ -1,6 +1,6 @@
-#include "process/edge/datagram_socket.h"
+#include "io/datagram_socket.h"
 
-#include "process/edge/socket_address.h"
+#include "io/socket_address.h"
 
 #include <ace/Reactor.h>
 #include <sys/socket.h>
--- a/packages/process/edge/reactor_thread.cpp
+++ b/packages/io/reactor_thread.cpp
@@ -1,6 +1,6 @@
-#include "process/edge/reactor_thread.h"
+#include "io/reactor_thread.h"
 
-#include "process/edge/ace_time.h"
+#include "io/ace_time.h"
 
 #include <ace/Select_Reactor.h>
 #include <ace/Thread.h>
--- a/packages/process/edge/socket_address.cpp
+++ b/packages/io/socket_address.cpp
@@ -1,4 +1,4 @@
-#include "process/edge/socket_address.h"
+#include "io/socket_address.h"
 
 #include <netinet/in.h>
 
--- /dev/null
+++ b/packages/platform/object_codec.cpp
@@ -0,0 +1,388 @@
+#include "platform/object_codec.h"
+
+#include <json/reader.h>
+#include <json/value.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <chrono>
+#include <limits>
+#include <memory>
+
+namespace ebonyway::platform {
+
+namespace {
+
+// The one desired state; other names of its kind say nothing to this system.
+constexpr const char *DesiredStateName = "main";
+
+constexpr std::size_t MaxFaultBytes = 120;
+
+// Keeps durations and rates within the range of their types.
+constexpr double MostReal = 1e6;
+
+const char *kindPath(store_kind kind)
+{
+    switch (kind) {
+    case store_kind::DesiredState:
+        return "config";
+    case store_kind::BackendServers:
+        return "servers";
+    case store_kind::Evacuations:
+        return "evacuations";
+    }
+    return "";
+}
+
+std::int64_t toMillis(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+/** Escapes what has a meaning in a query. */
+std::string escapeQuery(const std::string &text)
+{
+    static const char *digits = "0123456789ABCDEF";
+    std::string escaped;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || character == '-' || character == '_' || character == '.') {
+            escaped += character;
+            continue;
+        }
+        escaped += '%';
+        escaped += digits[byte >> 4];
+        escaped += digits[byte & 15];
+    }
+    return escaped;
+}
+
+/** Reads members of one JSON object and remembers the first fault. */
+class member_reader
+{
+public:
+    explicit member_reader(const Json::Value &object)
+        : m_object(object)
+    {
+        if (!object.isObject()) {
+            m_fault = "not an object";
+        }
+    }
+
+    std::string text(const char *name)
+    {
+        const Json::Value &member = find(name);
+        if (!member.isString()) {
+            fail(name, "text");
+            return {};
+        }
+        return member.asString();
+    }
+
+    std::uint64_t number(const char *name)
+    {
+        const Json::Value &member = find(name);
+        if (!member.isUInt64()) {
+            fail(name, "a whole number");
+            return 0;
+        }
+        return member.asUInt64();
+    }
+
+    std::uint64_t numberOr(const char *name, std::uint64_t fallback)
+    {
+        return find(name).isNull() ? fallback : number(name);
+    }
+
+    double realOr(const char *name, double fallback)
+    {
+        const Json::Value &member = find(name);
+        if (member.isNull()) {
+            return fallback;
+        }
+        if (!member.isNumeric()) {
+            fail(name, "a number");
+            return fallback;
+        }
+        return std::clamp(member.asDouble(), 0.0, MostReal);
+    }
+
+    std::chrono::milliseconds millisOr(const char *name, std::uint64_t fallback)
+    {
+        constexpr std::uint64_t most = 1'000ULL * 86'400 * 365 * 200;
+        return std::chrono::milliseconds(std::min(numberOr(name, fallback), most));
+    }
+
+    const Json::Value &find(const char *name) const
+    {
+        static const Json::Value none;
+        return m_object.isObject() && m_object.isMember(name) ? m_object[name] : none;
+    }
+
+    void fail(const char *name, const char *expected)
+    {
+        if (m_fault.empty()) {
+            m_fault = std::string(name) + " is not " + expected;
+        }
+    }
+
+    const std::string &fault() const { return m_fault; }
+
+private:
+    const Json::Value &m_object;
+    std::string m_fault;
+};
+
+using decoded_value = result<store_value>;
+
+error unreadable(const std::string &fault)
+{
+    return error{error_kind::InvalidInput, fault.substr(0, MaxFaultBytes),
+                 "Correct the object in the store."};
+}
+
+decoded_value decodeServer(const std::string &id, const Json::Value &spec)
+{
+    member_reader members(spec);
+    backend_server_entry entry;
+    const auto key = decodeServerKey(id);
+    if (!key) {
+        return unreadable("the id has no hex digits");
+    }
+    entry.key = *key;
+    entry.service = members.text("service");
+    const auto address = endpoint::parse(members.text("addr"));
+    entry.failureDomain = members.text("zone");
+    entry.slots = static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(members.number("slots"), std::numeric_limits<int>::max()));
+    const std::string state = members.text("state");
+    entry.draining = state == "draining";
+    entry.coldRemaining = members.millisOr("coldLeftMs", 0);
+    // "seq" counts the server's reports and says nothing about the server itself.
+    members.number("seq");
+    entry.startedAt = members.millisOr("born", 0);
+    if (!members.fault().empty()) {
+        return unreadable(members.fault());
+    }
+    if (!isOk(address) || !valueOf(address).address.isV4()) {
+        return unreadable("addr is not an IPv4 address with a port");
+    }
+    if (state != "ready" && state != "draining") {
+        return unreadable("state " + state + " is unknown");
+    }
+    entry.address = valueOf(address);
+    return store_value(entry);
+}
+
+/** "pathPrefix" of a route holds its port between slashes. */
+std::optional<std::uint16_t> decodeRoutePort(const std::string &text)
+{
+    if (text.size() < 3 || text.front() != '/' || text.back() != '/') {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char *first = text.data() + 1;
+    const char *last = text.data() + text.size() - 1;
+    const auto parsed = std::from_chars(first, last, port);
+    if (parsed.ec != std::errc() || parsed.ptr != last) {
+        return std::nullopt;
+    }
+    return port;
+}
+
+result<route> decodeRoute(const Json::Value &object)
+{
+    member_reader members(object);
+    route item;
+    item.name = members.text("name");
+    // "host" of a route is its public address.
+    const auto address = ip_address::parse(members.text("host"));
+    const auto port = decodeRoutePort(members.text("pathPrefix"));
+    item.priority = static_cast<std::uint32_t>(members.numberOr("priority", 0));
+    item.goal = members.millisOr("goalMs", 0);
+    item.timeout = members.millisOr("timeoutMs", 0);
+    const Json::Value &shares = members.find("backends");
+    if (shares.isArray()) {
+        for (const Json::Value &share : shares) {
+            member_reader shareMembers(share);
+            const std::string service = shareMembers.text("service");
+            const auto weight = static_cast<std::uint32_t>(shareMembers.numberOr("weight", 1));
+            if (!shareMembers.fault().empty()) {
+                return unreadable("route " + item.name + ": " + shareMembers.fault());
+            }
+            if (weight > 0) {
+                item.shares.push_back({service, weight});
+            }
+        }
+    } else {
+        item.shares.push_back({members.text("service"), 1});
+    }
+    if (!members.fault().empty() || !isOk(address) || !port) {
+        return unreadable("route " + item.name + ": " + members.fault());
+    }
+    item.address = endpoint{valueOf(address), *port};
+    return item;
+}
+
+decoded_value decodeDesiredState(const Json::Value &spec)
+{
+    member_reader members(spec);
+    desired_state state;
+    state.version = members.number("version");
+    for (const Json::Value &object : members.find("routes")) {
+        auto item = decodeRoute(object);
+        if (!isOk(item)) {
+            return errorOf(item);
+        }
+        state.routes.push_back(std::move(valueOf(item)));
+    }
+    for (const Json::Value &object : members.find("services")) {
+        member_reader service(object);
+        service_limits limits;
+        limits.name = service.text("name");
+        limits.maxConnections = static_cast<std::uint32_t>(service.numberOr("maxConns", 0));
+        const std::chrono::duration<double> cold(service.realOr("coldS", 0));
+        limits.coldDuration = std::chrono::duration_cast<std::chrono::milliseconds>(cold);
+        limits.coldRequestsPerSecond = service.realOr("coldPerS", 0);
+        if (!service.fault().empty()) {
+            return unreadable("service " + limits.name + ": " + service.fault());
+        }
+        state.services.push_back(std::move(limits));
+    }
+    member_reader limits(members.find("limits"));
+    state.idleTimeout = limits.millisOr("idleTimeoutMs", 0);
+    if (!members.fault().empty()) {
+        return unreadable(members.fault());
+    }
+    return store_value(std::move(state));
+}
+
+decoded_value decodeValue(store_kind kind, const std::string &name, const Json::Value &spec)
+{
+    switch (kind) {
+    case store_kind::DesiredState:
+        if (name != DesiredStateName) {
+            return unreadable("only " + std::string(DesiredStateName) + " holds a desired state");
+        }
+        return decodeDesiredState(spec);
+    case store_kind::BackendServers:
+        return decodeServer(name, spec);
+    case store_kind::Evacuations:
+        return store_value(evacuation{name});
+    }
+    return unreadable("unknown kind");
+}
+
+std::optional<store_object> decodeObject(store_kind kind, const Json::Value &json, bool deleted)
+{
+    const Json::Value meta = member_reader(json).find("meta");
+    member_reader members(meta);
+    store_object object;
+    object.name = members.text("name");
+    object.revision = members.number("rev");
+    object.deleted = deleted;
+    if (!members.fault().empty()) {
+        return std::nullopt;
+    }
+    if (deleted) {
+        return object;
+    }
+    decoded_value value = decodeValue(kind, object.name, member_reader(json).find("spec"));
+    if (isOk(value)) {
+        object.value = std::move(valueOf(value));
+    } else {
+        object.fault = errorOf(value).message;
+    }
+    return object;
+}
+
+store_failure failureOf(int httpStatus, const std::string &body)
+{
+    const std::string detail =
+            "HTTP status " + std::to_string(httpStatus) + " " + body.substr(0, MaxFaultBytes);
+    switch (httpStatus) {
+    case 410:
+        return {store_failure::cause::HistoryGone, detail};
+    case 429:
+    case 503:
+        return {store_failure::cause::TurnedAway, detail};
+    default:
+        return {store_failure::cause::Unreadable, detail};
+    }
+}
+
+void decodeObjects(const store_call &call, const Json::Value &root, store_page &page)
+{
+    member_reader members(root);
+    for (const Json::Value &item : members.find(call.watch ? "events" : "items")) {
+        const Json::Value &object = call.watch ? member_reader(item).find("object") : item;
+        const Json::Value &deleted = member_reader(item).find("deleted");
+        const bool isGone = call.watch && deleted.isBool() && deleted.asBool();
+        auto decoded = decodeObject(call.kind, object, isGone);
+        if (decoded) {
+            page.lastName = decoded->name;
+            page.objects.push_back(std::move(*decoded));
+        }
+    }
+}
+
+} // namespace
+
+std::optional<server_key> decodeServerKey(const std::string &id)
+{
+    // The number is written in hex digits after a prefix such as "i-".
+    const std::size_t dash = id.rfind('-');
+    const std::string digits = dash == std::string::npos ? id : id.substr(dash + 1);
+    server_key key;
+    const char *last = digits.data() + digits.size();
+    const auto parsed = std::from_chars(digits.data(), last, key.value, 16);
+    if (digits.empty() || digits.size() > 16 || parsed.ec != std::errc() || parsed.ptr != last) {
+        return std::nullopt;
+    }
+    return key;
+}
+
+std::string encodeCall(const store_call &call)
+{
+    std::string target = std::string("/v1/objects/") + kindPath(call.kind);
+    if (call.watch) {
+        return target + "?watch=" + std::to_string(call.revision)
+               + "&waitMs=" + std::to_string(toMillis(call.wait));
+    }
+    if (!call.after.empty()) {
+        target += "?after=" + escapeQuery(call.after);
+    }
+    return target;
+}
+
+store_answer decodeAnswer(const store_call &call, int httpStatus, const std::string &body)
+{
+    if (httpStatus != 200) {
+        return failureOf(httpStatus, body);
+    }
+    Json::Value root;
+    Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    std::string fault;
+    try {
+        if (!reader->parse(body.data(), body.data() + body.size(), &root, &fault)) {
+            return store_failure{store_failure::cause::Unreadable, fault.substr(0, MaxFaultBytes)};
+        }
+        member_reader members(root);
+        store_page page;
+        page.revision = members.number("currentRev");
+        const Json::Value &more = members.find("more");
+        page.more = !call.watch && more.isBool() && more.asBool();
+        if (!members.fault().empty()) {
+            return store_failure{store_failure::cause::Unreadable, members.fault()};
+        }
+        decodeObjects(call, root, page);
+        return page;
+    } catch (const Json::Exception &deep) {
+        // jsoncpp throws on nesting beyond its stack limit.
+        return store_failure{store_failure::cause::Unreadable, deep.what()};
+    }
+}
+
+} // namespace ebonyway::platform
--- a/packages/process/burn_report.cpp
+++ b/packages/process/burn_report.cpp
@@ -1,6 +1,6 @@
 #include "process/burn_report.h"
 
-#include "version/duration_text.h"
+#include "core/duration_text.h"
 #include "version/intent.h"
 #include "version/number_text.h"
 #include "version/text_table.h"
--- a/packages/process/burn_svg.cpp
+++ b/packages/process/burn_svg.cpp
@@ -1,5 +1,5 @@
+#include "core/duration_text.h"
 #include "process/burn_report.h"
-#include "version/duration_text.h"
 #include "version/number_text.h"
 
 #include <algorithm>
--- a/packages/process/edge/health_prober.cpp
+++ b/packages/process/edge/health_prober.cpp
@@ -1,7 +1,7 @@
 #include "process/edge/health_prober.h"
 
+#include "core/json_text.h"
 #include "process/edge/http_platform_store.h"
-#include "version/json_text.h"
 #include "version/route_plan.h"
 
 #include <utility>
--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -1,6 +1,6 @@
 #include "process/edge/http_platform_store.h"
 
-#include "version/json_text.h"
+#include "core/json_text.h"
 
 #include <httplib.h>
 
--- a/packages/process/edge/instance_daemon.cpp
+++ b/packages/process/edge/instance_daemon.cpp
@@ -1,9 +1,9 @@
 #include "process/edge/instance_daemon.h"
 
+#include "core/json_text.h"
 #include "process/burn_report.h"
 #include "process/edge/platform_adapter.h"
 #include "process/edge/status_pages.h"
-#include "version/json_text.h"
 #include "version/route_plan.h"
 
 #include <future>
--- a/packages/process/edge/instance_daemon.h
+++ b/packages/process/edge/instance_daemon.h
@@ -1,20 +1,20 @@
 #pragma once
 
+#include "io/datagram_socket.h"
+#include "io/reactor_thread.h"
 #include "process/control_core.h"
 #include "process/edge/call_worker.h"
-#include "process/edge/datagram_socket.h"
 #include "process/edge/health_prober.h"
 #include "process/edge/home_worker.h"
 #include "process/edge/http_platform_store.h"
 #include "process/edge/outcome_collector.h"
 #include "process/edge/plan_snapshots.h"
-#include "process/edge/reactor_thread.h"
 #include "process/edge/status_server.h"
 #include "process/edge/sync_connection.h"
 #include "process/edge/traffic_worker.h"
-#include "process/event_log.h"
-#include "process/metrics.h"
 #include "process/settings.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
 #include "version/intent_log.h"
 
 #include <atomic>
--- a/packages/process/edge/status_pages.cpp
+++ b/packages/process/edge/status_pages.cpp
@@ -1,11 +1,11 @@
 #include "process/edge/status_pages.h"
 
+#include "core/json_text.h"
 #include "process/control_core.h"
 #include "process/edge/home_worker.h"
 #include "process/edge/traffic_counters.h"
-#include "process/metrics.h"
 #include "process/settings.h"
-#include "version/json_text.h"
+#include "telemetry/metrics.h"
 #include "version/release_note.h"
 #include "version/route_plan.h"
 
--- a/packages/process/edge/sync_connection.cpp
+++ b/packages/process/edge/sync_connection.cpp
@@ -1,7 +1,7 @@
 #include "process/edge/sync_connection.h"
 
-#include "process/edge/ace_time.h"
-#include "process/edge/socket_address.h"
+#include "io/ace_time.h"
+#include "io/socket_address.h"
 #include "process/sync_message.h"
 #include "request/byte_order.h"
 
--- a/packages/process/edge/traffic_counters.h
+++ b/packages/process/edge/traffic_counters.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "connection/routing_strategy.h"
-#include "process/metrics.h"
+#include "telemetry/metrics.h"
 
 #include <array>
 #include <atomic>
--- a/packages/process/edge/traffic_worker.h
+++ b/packages/process/edge/traffic_worker.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "process/edge/datagram_socket.h"
-#include "process/edge/reactor_thread.h"
+#include "io/datagram_socket.h"
+#include "io/reactor_thread.h"
 #include "process/edge/traffic_counters.h"
 #include "process/edge/traffic_view.h"
 #include "request/packet.h"
--- a/packages/process/fenced_object.cpp
+++ b/packages/process/fenced_object.cpp
@@ -1,6 +1,6 @@
 #include "process/fenced_object.h"
 
-#include "version/json_text.h"
+#include "core/json_text.h"
 
 #include <json/json.h>
 
--- a/packages/process/flow_outcome_log.cpp
+++ b/packages/process/flow_outcome_log.cpp
@@ -1,6 +1,6 @@
 #include "process/flow_outcome_log.h"
 
-#include "version/json_text.h"
+#include "core/json_text.h"
 
 #include <limits>
 
--- a/packages/process/lease.cpp
+++ b/packages/process/lease.cpp
@@ -1,6 +1,6 @@
 #include "process/lease.h"
 
-#include "version/json_text.h"
+#include "core/json_text.h"
 
 #include <json/json.h>
 
--- a/packages/process/settings.cpp
+++ b/packages/process/settings.cpp
@@ -1,11 +1,10 @@
 #include "process/settings.h"
 
-#include "process/settings_reader.h"
-#include "version/json_text.h"
+#include "core/json_text.h"
+#include "core/settings_reader.h"
+#include "core/text_file.h"
 
 #include <cctype>
-#include <fstream>
-#include <sstream>
 
 namespace ebonyway {
 
@@ -18,18 +17,6 @@
 constexpr std::size_t LeastKeyBytes = 16;
 constexpr std::uint64_t MostTrackedFlows = 2'000'000;
 
-result<std::string> readFile(const std::string &file)
-{
-    std::ifstream stream(file, std::ios::binary);
-    if (!stream) {
-        return error{error_kind::NotFound, "cannot read '" + file + "'",
-                     "Check the path and the permissions of the file."};
-    }
-    std::ostringstream content;
-    content << stream.rdbuf();
-    return content.str();
-}
-
 int hexDigit(char character)
 {
     if (character >= '0' && character <= '9') {
@@ -149,7 +136,7 @@
 
 result<settings> readSettings(const std::string &file)
 {
-    const result<std::string> text = readFile(file);
+    const result<std::string> text = readTextFile(file);
     if (!isOk(text)) {
         return errorOf(text);
     }
@@ -158,7 +145,7 @@
         return errorOf(parsed);
     }
     const std::string &keyFile = valueOf(parsed).keyFile;
-    const result<std::string> keyText = readFile(keyFile);
+    const result<std::string> keyText = readTextFile(keyFile);
     if (!isOk(keyText)) {
         return error{error_kind::NotFound,
                      file + ": key 'deployment_key_file' has the value \"" + keyFile
--- /dev/null
+++ b/packages/telemetry/bounded_event_log.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "telemetry/event_log.h"
+#include "telemetry/log_budget.h"
+
+#include <mutex>
+
+namespace ebonyway {
+
+/**
+ * Passes lines on at a bounded rate for each event. Lines that were left out are counted in a line
+ * of their own, "log_lines_suppressed".
+ */
+class bounded_event_log : public event_log
+{
+public:
+    explicit bounded_event_log(event_log &target);
+
+    void write(const log_line &line) override;
+
+    /** Writes how many lines were left out. Call it about once a second. */
+    void writeSuppressed();
+
+private:
+    event_log &m_target;
+    std::mutex m_mutex;
+    log_budget m_budget;
+};
+
+} // namespace ebonyway
--- a/packages/process/event_log.cpp
+++ b/packages/telemetry/event_log.cpp
@@ -1,7 +1,8 @@
-#include "process/event_log.h"
+#include "telemetry/event_log.h"
 
 #include <json/value.h>
 #include <json/writer.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -19,6 +20,9 @@
 
 namespace {
 
+// About two seconds of lines at the highest rate that is expected.
+constexpr int BufferedLines = 512;
+
 const char *levelName(log_level level)
 {
     switch (level) {
@@ -97,7 +101,8 @@
     return Json::writeString(builder, object);
 }
 
-log4cxx_event_log::log4cxx_event_log(const std::string &level, const std::string &file)
+log4cxx_event_log::log4cxx_event_log(const std::string &level, const std::string &file,
+                                     delivery how)
 {
     // The events are rendered as JSON before they reach log4cxx, so the layout adds only the line
     // end.
@@ -108,12 +113,24 @@
     } else {
         appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
     }
+    if (how == delivery::Buffered) {
+        const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+        buffered->setBufferSize(BufferedLines);
+        buffered->setBlocking(false);
+        buffered->addAppender(appender);
+        appender = buffered;
+    }
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(
             log4cxx::Level::toLevel(level, log4cxx::Level::getInfo()));
 }
 
+log4cxx_event_log::~log4cxx_event_log()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 void log4cxx_event_log::write(const log_line &line)
 {
     const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
--- a/packages/process/event_log.h
+++ b/packages/telemetry/event_log.h
@@ -53,11 +53,20 @@
 class log4cxx_event_log : public event_log
 {
 public:
+    /** How lines reach their destination. */
+    enum class delivery : std::uint8_t {
+        Direct, ///< The caller writes them.
+        Buffered, ///< A thread of log4cxx writes them; lines are discarded rather than waited for.
+    };
+
     /**
      * Configures log4cxx for this process. `level` is one of debug, info, warn, error. `file` is
      * empty for standard output.
      */
-    log4cxx_event_log(const std::string &level, const std::string &file);
+    log4cxx_event_log(const std::string &level, const std::string &file,
+                      delivery how = delivery::Direct);
+    /** Writes what is buffered. */
+    ~log4cxx_event_log() override;
 
     void write(const log_line &line) override;
 };
--- a/packages/process/metrics.cpp
+++ b/packages/telemetry/metrics.cpp
@@ -1,4 +1,4 @@
-#include "process/metrics.h"
+#include "telemetry/metrics.h"
 
 #include <cstdio>
 
--- a/packages/version/note_effect.cpp
+++ b/packages/version/note_effect.cpp
@@ -1,6 +1,6 @@
 #include "version/note_effect.h"
 
-#include "version/duration_text.h"
+#include "core/duration_text.h"
 #include "version/number_text.h"
 #include "version/route_plan.h"
 
--- a/packages/version/note_fields.cpp
+++ b/packages/version/note_fields.cpp
@@ -1,7 +1,7 @@
 #include "version/note_fields.h"
 
-#include "version/duration_text.h"
-#include "version/json_text.h"
+#include "core/duration_text.h"
+#include "core/json_text.h"
 #include "version/release_note.h"
 
 #include <algorithm>
--- a/packages/version/release_note.cpp
+++ b/packages/version/release_note.cpp
@@ -1,6 +1,6 @@
 #include "version/release_note.h"
 
-#include "version/json_text.h"
+#include "core/json_text.h"
 #include "version/note_fields.h"
 
 #include <openssl/evp.h>
--- a/tests/ebonyway/operator_session_test.cpp
+++ b/tests/ebonyway/operator_session_test.cpp
@@ -1,7 +1,7 @@
+#include "core/json_text.h"
 #include "ebonyway/operator_commands.h"
 #include "golden_file.h"
 #include "version/fake_platform_store.h"
-#include "version/json_text.h"
 #include "version/note_samples.h"
 
 #include <doctest/doctest.h>
--- a/tests/process/burn_report_test.cpp
+++ b/tests/process/burn_report_test.cpp
@@ -1,8 +1,8 @@
+#include "core/json_text.h"
 #include "core/seeded_random.h"
 #include "golden_file.h"
 #include "process/burn_report.h"
 #include "version/intent.h"
-#include "version/json_text.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -1,5 +1,5 @@
+#include "core/settings_reader.h"
 #include "process/settings.h"
-#include "process/settings_reader.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/system/daemon_session_test.cpp
+++ b/tests/system/daemon_session_test.cpp
@@ -1,6 +1,6 @@
+#include "io/socket_address.h"
 #include "process/edge/http_platform_store.h"
 #include "process/edge/instance_daemon.h"
-#include "process/edge/socket_address.h"
 #include "request/packet_builder.h"
 #include "standins/platform_service.h"
 
--- a/tests/process/metrics_test.cpp
+++ b/tests/telemetry/metrics_test.cpp
@@ -1,5 +1,5 @@
-#include "process/event_log.h"
-#include "process/metrics.h"
+#include "telemetry/event_log.h"
+#include "telemetry/metrics.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/version/release_note_test.cpp
+++ b/tests/version/release_note_test.cpp
@@ -1,5 +1,5 @@
+#include "core/duration_text.h"
 #include "core/seeded_random.h"
-#include "version/duration_text.h"
 #include "version/note_effect.h"
 #include "version/note_fold.h"
 #include "version/note_samples.h"
