--- a/packages/forwarding/connection/flow_table.cpp
+++ b/packages/forwarding/connection/flow_table.cpp
@@ -34,6 +34,12 @@
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
+const flow_record *flow_table::find(const flow_id &flow) const
+{
+    const auto found = m_flows.find(flow);
+    return found == m_flows.end() ? nullptr : &found->second;
+}
+
 flow_record *flow_table::add(const flow_id &flow, time_point now)
 {
     if (m_flows.size() >= m_capacity) {
--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -27,10 +27,11 @@
     std::array<server_key, MaxOffers> offers{}; ///< In order; unused ones are zero.
     std::uint8_t offerCount = 0;
     bool busy = false; ///< The caller has sent a request and seen nothing of the answer.
-    std::uint8_t repeats = 0; ///< Retransmissions in a row without progress.
     std::uint32_t nextSequence = 0; ///< End of the data that the caller has sent.
+    std::uint32_t deliveredSequence = 0; ///< Up to here the server must have received the data.
     std::uint32_t acknowledged = 0; ///< Last acknowledgement of the caller.
     time_point offeredAt; ///< Of the last opening packet.
+    time_point lastRepeat; ///< When the caller last began to repeat packets.
     time_point firstSeen;
     time_point lastSeen;
 
@@ -47,6 +48,7 @@
     explicit flow_table(std::size_t capacity);
 
     flow_record *find(const flow_id &flow);
+    const flow_record *find(const flow_id &flow) const;
     /** Adds a record. Returns nullptr if the table is full. */
     flow_record *add(const flow_id &flow, time_point now);
 
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -16,6 +16,13 @@
 // Callers send two copies of an opening packet; the second one is the last chance to answer.
 constexpr std::uint32_t LastCopy = 2;
 
+// Callers have at most 16 packets of 1,200 bytes under way.
+constexpr std::uint32_t CallerWindowBytes = 16 * 1'200;
+
+// A caller repeats all packets that are under way at once, 200 ms or more after the last time. They
+// are one sign of silence.
+constexpr duration RepeatRound = 150ms;
+
 /** Compares sequence numbers, which wrap around. */
 bool isAfter(std::uint32_t left, std::uint32_t right)
 {
@@ -42,6 +49,7 @@
         }
     }
     m_known = std::move(known);
+    m_evidence.adopt(*m_known);
 }
 
 void forwarder::setInstances(std::size_t count)
@@ -73,6 +81,12 @@
     return loads;
 }
 
+bool forwarder::isOpening(const flow_id &flow) const
+{
+    const flow_record *record = m_flows.find(flow);
+    return record && record->state == flow_record::phase::Opening;
+}
+
 forwarding_decision forwarder::decide(const flow_packet &packet, time_point now)
 {
     if (!m_known) {
@@ -123,39 +137,82 @@
     const bool offeredBefore = record && record->offerCount > 0;
     const auto choice = m_placement.choose(*m_known, m_evidence, m_coldStarts, *service,
                                            offeredBefore ? record : nullptr, now);
-    const directory_server *server = choice ? choice->server : nullptr;
-    if (!server && offeredBefore) {
-        // Nobody else is left; the first choice may have lost a packet.
-        server = m_known->byToken(tokenOf(record->server));
-        if (server && !server->acceptsNewFlows()) {
-            server = nullptr;
+    if (choice) {
+        if (!record) {
+            record = m_flows.add(packet.flow, now);
         }
+        return place(packet.flow, *service, *choice, packet.acknowledged, record, now);
     }
-    if (!server) {
-        return holdOrRefuse(packet, *service, record, now);
-    }
-    if (now < server->coldUntil) {
-        const auto limits = m_known->routes().services.find(*service);
-        m_coldStarts.spend(server->entry.key, limits->second.coldRequestsPerSecond, now);
+    if (offeredBefore) {
+        // Nobody else is left; the first choice may have lost a packet.
+        const directory_server *server = m_known->byToken(tokenOf(record->server));
+        if (server && server->acceptsNewFlows()) {
+            const placement_choice again{server, placement_tier::SetAside, 0.0, 0};
+            return place(packet.flow, *service, again, packet.acknowledged, record, now);
+        }
     }
-    if (!record) {
-        record = m_flows.add(packet.flow, now);
+    return holdOrRefuse(packet, *service, record, now);
+}
+
+forward_packet forwarder::place(const flow_id &flow, const std::string &service,
+                                const placement_choice &choice, std::uint32_t copy,
+                                flow_record *record, time_point now)
+{
+    const directory_server &server = *choice.server;
+    const server_key key = server.entry.key;
+    if (now < server.coldUntil) {
+        const auto limits = m_known->routes().services.find(service);
+        const bool known = limits != m_known->routes().services.end();
+        m_coldStarts.spend(key, known ? limits->second.coldRequestsPerSecond : 0.0, now);
     }
     if (record) {
         record->state = flow_record::phase::Opening;
-        record->server = server->entry.key;
+        record->server = key;
         record->offeredAt = now;
         record->lastSeen = now;
         if (record->offerCount < MaxOffers) {
-            record->offers[record->offerCount++] = server->entry.key;
+            record->offers[record->offerCount++] = key;
         }
-        m_evidence.onOffer(server->entry.key, now);
+        m_evidence.onOffer(key, now);
+        m_offers.emplace_back(now, flow);
     }
-    m_observer.onPlacement({packet.flow, *service, server->entry.key, server->entry.address,
-                            server->token, choice ? choice->tier : placement_tier::SetAside,
-                            choice ? choice->load : 0.0, choice ? choice->candidates : 0,
-                            packet.acknowledged, m_known->serial(), m_known->routes().version});
-    return forward_packet{server->entry.key, server->entry.address, server->token};
+    m_observer.onPlacement({flow, service, key, server.entry.address, server.token, choice.tier,
+                            choice.load, choice.candidates, copy, m_known->serial(),
+                            m_known->routes().version});
+    return forward_packet{key, server.entry.address, server.token};
+}
+
+std::vector<further_offer> forwarder::offerAgain(time_point now)
+{
+    std::vector<further_offer> offers;
+    while (!m_offers.empty() && now - m_offers.front().first > AnswerTime) {
+        const flow_id flow = m_offers.front().second;
+        m_offers.pop_front();
+        flow_record *record = m_flows.find(flow);
+        // A flow that was offered again since has a later entry of its own.
+        if (!record || record->state != flow_record::phase::Opening
+            || now - record->offeredAt <= AnswerTime || record->offerCount >= MaxOffers) {
+            continue;
+        }
+        const auto found = m_known->routes().routes.find(flow.service);
+        const std::string *service = found == m_known->routes().routes.end()
+                                             ? nullptr
+                                             : m_placement.chooseService(found->second);
+        if (!service) {
+            continue;
+        }
+        const auto choice =
+                m_placement.choose(*m_known, m_evidence, m_coldStarts, *service, record, now);
+        if (!choice || choice->tier != placement_tier::Warm) {
+            continue;
+        }
+        m_evidence.onSilence(record->server, now);
+        const time_point lastSeen = record->lastSeen;
+        const forward_packet target = place(flow, *service, *choice, 0, record, now);
+        record->lastSeen = lastSeen;
+        offers.push_back({flow, target});
+    }
+    return offers;
 }
 
 forwarding_decision forwarder::holdOrRefuse(const flow_packet &packet, const std::string &service,
@@ -185,9 +242,33 @@
         return refuse(packet, refusal_reason::UnknownToken, false);
     }
     follow(packet, server->entry.key, now);
+    if (shouldGiveUp(packet, *server, now)) {
+        return refuse(packet, refusal_reason::BackendServerDead, true);
+    }
     return forward_packet{server->entry.key, server->entry.address, server->token};
 }
 
+bool forwarder::shouldGiveUp(const flow_packet &packet, const directory_server &server,
+                             time_point now)
+{
+    if (packet.dataLength == 0 || packet.resets || !m_evidence.isSilent(server.entry.key, now)) {
+        return false;
+    }
+    const auto found = m_known->routes().routes.find(packet.flow.service);
+    if (found == m_known->routes().routes.end() || !found->second.idempotent) {
+        // The caller could not repeat the request; the server may still answer late.
+        return false;
+    }
+    for (const std::size_t index : m_known->candidates(server.entry.service)) {
+        const directory_server &other = m_known->servers()[index];
+        if (m_evidence.trustIn(other.entry.key, now) != server_trust::Answering) {
+            continue;
+        }
+        return true;
+    }
+    return false;
+}
+
 void forwarder::follow(const flow_packet &packet, server_key server, time_point now)
 {
     flow_record *record = m_flows.find(packet.flow);
@@ -203,6 +284,7 @@
         record->server = server;
         record->acknowledged = packet.acknowledged;
         record->nextSequence = packet.sequence;
+        record->deliveredSequence = packet.sequence;
         m_evidence.addOpen(server, 1);
     } else if (record->state == flow_record::phase::Opening) {
         onFirstPacketAfterOpening(packet, *record, server, now);
@@ -233,6 +315,7 @@
     record.server = server;
     record.acknowledged = packet.acknowledged;
     record.nextSequence = packet.sequence;
+    record.deliveredSequence = packet.sequence;
     m_evidence.addOpen(server, 1);
     m_observer.onOpened(packet.flow, server, now - record.firstSeen);
 }
@@ -241,7 +324,6 @@
 {
     if (isAfter(packet.acknowledged, record.acknowledged)) {
         record.acknowledged = packet.acknowledged;
-        record.repeats = 0;
         m_evidence.onProgress(record.server, now);
         if (record.busy) {
             record.busy = false;
@@ -253,10 +335,18 @@
     }
     const std::uint32_t end = packet.sequence + packet.dataLength;
     if (!isAfter(end, record.nextSequence)) {
-        ++record.repeats;
+        if (now - record.lastRepeat >= RepeatRound) {
+            record.lastRepeat = now;
+            m_evidence.onRepeat(record.server, now);
+        }
         return;
     }
     record.nextSequence = end;
+    if (isAfter(end, record.deliveredSequence + CallerWindowBytes)) {
+        // The caller could send this only because the server acknowledged earlier data.
+        record.deliveredSequence = end - CallerWindowBytes;
+        m_evidence.onProgress(record.server, now);
+    }
     if (!record.busy) {
         record.busy = true;
         m_evidence.addBusy(record.server, 1);
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -8,8 +8,10 @@
 #include "forwarding/version/directory.h"
 
 #include <array>
+#include <deque>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ebonyway {
@@ -69,6 +71,13 @@
     }
 };
 
+/** An opening packet that is to be sent once more, to another backend server. */
+struct further_offer
+{
+    flow_id flow;
+    forward_packet target;
+};
+
 /** Settings of the forwarder. */
 struct forwarder_options
 {
@@ -94,12 +103,19 @@
     /** Ends flows that fell silent and reports changed verdicts. Call it several times a second. */
     void tick(time_point now);
 
+    /**
+     * Offers flows whose backend server has not answered in time to others, before the caller
+     * repeats its opening packet. Call it every few tens of milliseconds.
+     */
+    std::vector<further_offer> offerAgain(time_point now);
+
     /** Sets how many instances share the rates of cold backend servers. */
     void setInstances(std::size_t count);
     /** Sets what all other instances together send to each backend server. */
     void setPeerLoads(const std::vector<server_load> &loads);
 
     std::vector<server_load> loads() const;
+    bool isOpening(const flow_id &flow) const;
     std::size_t flowCount() const { return m_flows.size(); }
     const server_evidence &evidence() const { return m_evidence; }
 
@@ -108,6 +124,10 @@
     forwarding_decision decideOpen(const flow_packet &packet, time_point now);
     forwarding_decision offer(const flow_packet &packet, const route &to, flow_record *record,
                               time_point now);
+    forward_packet place(const flow_id &flow, const std::string &service,
+                         const placement_choice &choice, std::uint32_t copy, flow_record *record,
+                         time_point now);
+    bool shouldGiveUp(const flow_packet &packet, const directory_server &server, time_point now);
     forwarding_decision refuse(const flow_packet &packet, refusal_reason reason, bool reset);
     forwarding_decision holdOrRefuse(const flow_packet &packet, const std::string &service,
                                      flow_record *record, time_point now);
@@ -124,6 +144,7 @@
     flow_table m_flows;
     server_evidence m_evidence;
     cold_start_budget m_coldStarts;
+    std::deque<std::pair<time_point, flow_id>> m_offers; ///< First offers, oldest first.
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/server_condition.h
+++ b/packages/forwarding/connection/server_condition.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "forwarding/request/flow_packet.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,9 @@
     std::uint32_t busy = 0; ///< Open flows whose request is not answered yet.
     std::uint32_t silences = 0; ///< Offers in a row that stayed unanswered.
     std::uint32_t failures = 0; ///< Periods set aside in a row.
+    std::uint32_t suspicions = 0; ///< Signs of silence since the last progress.
+    time_point firstSuspicion;
+    time_point lastSuspicion;
     std::optional<time_point> oldestOffer; ///< Of the offers that wait for an answer.
     std::optional<time_point> setAsideUntil;
     bool trialUnderWay = false; ///< One flow was offered after the period set aside.
@@ -23,4 +27,13 @@
     std::uint64_t peersOpen = 0;
 };
 
+/** What an instance has seen of the backend servers of one failure domain together. */
+struct domain_condition
+{
+    std::uint32_t suspicions = 0; ///< Since the last progress of any of its servers.
+    server_key firstSuspect;
+    bool severalSuspects = false;
+    time_point lastSuspicion;
+};
+
 } // namespace ebonyway
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -9,10 +9,6 @@
 
 using namespace std::chrono_literals;
 
-// A handshake takes two trips between callers and servers, about 10 ms; the rest allows for a slow
-// instance.
-constexpr duration AnswerTime = 60ms;
-
 // One unanswered offer may be a lost packet; a second one in a row is unlikely to be.
 constexpr std::uint32_t SilencesUntilSetAside = 2;
 
@@ -20,6 +16,21 @@
 constexpr duration FirstSetAside = 1s;
 constexpr duration LongestSetAside = 4s;
 
+// Signs of silence, without any progress between them, until a server counts as silent. Single
+// packets get lost, but hardly three of different flows while others get through.
+constexpr std::uint32_t SuspicionsUntilSilent = 3;
+
+// Enough signs of one server while several servers of its failure domain are suspected, and none
+// of them makes progress. Other servers of the domain may serve on unseen, so one sign is too few.
+constexpr std::uint32_t SuspicionsInSilentDomain = 2;
+
+// Signs that arrive closer together may stem from one lost burst.
+constexpr duration ShortestSilence = 150ms;
+
+// Without a new sign for this long, nothing is claimed any more. Callers repeat lost packets after
+// 200 ms, 400 ms, 800 ms and then every 1.6 s.
+constexpr duration SuspicionLifetime = 2s;
+
 void addTo(std::uint32_t &count, int change)
 {
     count = static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::int64_t{count} + change));
@@ -42,6 +53,16 @@
     return "answering";
 }
 
+void server_evidence::adopt(const directory &known)
+{
+    m_domainOf.clear();
+    for (const directory_server &server : known.servers()) {
+        m_domainOf.emplace(server.entry.key, server.entry.failureDomain);
+    }
+    std::erase_if(m_conditions,
+                  [this](const auto &item) { return !m_domainOf.contains(item.first); });
+}
+
 void server_evidence::onOffer(server_key server, time_point now)
 {
     server_condition &state = m_conditions[server];
@@ -65,6 +86,11 @@
     server_condition &state = m_conditions[server];
     state.lastAnswer = now;
     state.silences = 0;
+    state.suspicions = 0;
+    const auto domain = m_domainOf.find(server);
+    if (domain != m_domainOf.end()) {
+        m_domains[domain->second].suspicions = 0;
+    }
     state.oldestOffer.reset();
     if (state.opening > 0) {
         state.oldestOffer = now;
@@ -73,7 +99,7 @@
         state.setAsideUntil.reset();
         state.failures = 0;
         state.trialUnderWay = false;
-        m_changes.push_back({server, false, 0});
+        m_changes.push_back({server, false, 0, 0});
     }
 }
 
@@ -82,18 +108,81 @@
     server_condition &state = m_conditions[server];
     onWithdrawnOffer(server);
     ++state.silences;
-    const bool failedTrial = state.trialUnderWay;
-    const bool newVerdict = !state.setAsideUntil && state.silences >= SilencesUntilSetAside;
-    if (!failedTrial && !newVerdict) {
+    suspect(server, now);
+    if (state.trialUnderWay || state.silences >= SilencesUntilSetAside) {
+        setAside(server, state, now);
+    }
+}
+
+void server_evidence::onRepeat(server_key server, time_point now)
+{
+    suspect(server, now);
+    if (isSilent(server, now)) {
+        setAside(server, m_conditions[server], now);
+    }
+}
+
+void server_evidence::suspect(server_key server, time_point now)
+{
+    server_condition &state = m_conditions[server];
+    if (state.suspicions == 0 || now - state.lastSuspicion > SuspicionLifetime) {
+        state.suspicions = 0;
+        state.firstSuspicion = now;
+    }
+    ++state.suspicions;
+    state.lastSuspicion = now;
+    const auto domain = m_domainOf.find(server);
+    if (domain == m_domainOf.end()) {
+        return;
+    }
+    domain_condition &whole = m_domains[domain->second];
+    if (whole.suspicions == 0 || now - whole.lastSuspicion > SuspicionLifetime) {
+        whole = domain_condition{0, server, false, now};
+    }
+    ++whole.suspicions;
+    whole.severalSuspects = whole.severalSuspects || whole.firstSuspect != server;
+    whole.lastSuspicion = now;
+}
+
+void server_evidence::setAside(server_key server, server_condition &state, time_point now)
+{
+    const bool isNew = !state.setAsideUntil;
+    if (!isNew && !state.trialUnderWay) {
         return;
     }
     const duration period = FirstSetAside * (1 << std::min(state.failures, 4U));
     state.setAsideUntil = now + std::min(period, LongestSetAside);
     ++state.failures;
     state.trialUnderWay = false;
-    if (newVerdict) {
-        m_changes.push_back({server, true, state.silences});
+    if (isNew) {
+        m_changes.push_back({server, true, state.silences, state.suspicions});
+    }
+}
+
+bool server_evidence::isDomainSilent(server_key server, time_point now) const
+{
+    const auto domain = m_domainOf.find(server);
+    if (domain == m_domainOf.end()) {
+        return false;
+    }
+    const auto found = m_domains.find(domain->second);
+    if (found == m_domains.end()) {
+        return false;
+    }
+    const domain_condition &whole = found->second;
+    return whole.severalSuspects && whole.suspicions >= SuspicionsUntilSilent
+           && now - whole.lastSuspicion <= SuspicionLifetime;
+}
+
+bool server_evidence::isSilent(server_key server, time_point now) const
+{
+    const server_condition &state = condition(server);
+    if (now - state.lastSuspicion > SuspicionLifetime
+        || now - state.firstSuspicion < ShortestSilence) {
+        return false;
     }
+    return state.suspicions >= SuspicionsUntilSilent
+           || (state.suspicions >= SuspicionsInSilentDomain && isDomainSilent(server, now));
 }
 
 void server_evidence::onWithdrawnOffer(server_key server)
@@ -129,7 +218,8 @@
         const bool mayTry = now >= *state.setAsideUntil && !state.trialUnderWay;
         return mayTry ? server_trust::OnTrial : server_trust::SetAside;
     }
-    if (state.oldestOffer && now - *state.oldestOffer > AnswerTime) {
+    const bool overdue = state.oldestOffer && now - *state.oldestOffer > AnswerTime;
+    if (overdue || isSilent(server, now) || isDomainSilent(server, now)) {
         return server_trust::Overdue;
     }
     return server_trust::Answering;
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -3,13 +3,21 @@
 #include "core/time.h"
 #include "forwarding/connection/server_condition.h"
 #include "forwarding/request/flow_packet.h"
+#include "forwarding/version/directory.h"
 
 #include <chrono>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace ebonyway {
 
+/**
+ * Longest time until an offer is answered. A handshake takes two trips between callers and servers,
+ * about 10 ms; the rest allows for a slow instance.
+ */
+constexpr duration AnswerTime = std::chrono::milliseconds(60);
+
 /** How far an instance trusts a backend server with new flows, best first. */
 enum class server_trust : std::uint8_t {
     Answering,
@@ -27,6 +35,7 @@
     server_key server;
     bool setAside = false; ///< Otherwise it answers again.
     std::uint32_t silences = 0; ///< Offers in a row that stayed unanswered.
+    std::uint32_t suspicions = 0; ///< All signs of silence since the last progress.
 };
 
 /**
@@ -36,6 +45,9 @@
 class server_evidence
 {
 public:
+    /** Takes over which servers exist and where they are; forgets the others. */
+    void adopt(const directory &known);
+
     /** An opening packet was forwarded to the server. */
     void onOffer(server_key server, time_point now);
     /** A flow that was offered to the server has opened. */
@@ -44,6 +56,8 @@
     void onProgress(server_key server, time_point now);
     /** An offer stayed unanswered. */
     void onSilence(server_key server, time_point now);
+    /** A caller had to repeat a packet of an open flow. */
+    void onRepeat(server_key server, time_point now);
     /** An offer was given up without a verdict, for example because the caller went away. */
     void onWithdrawnOffer(server_key server);
 
@@ -52,6 +66,11 @@
     void setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open);
 
     server_trust trustIn(server_key server, time_point now) const;
+    /**
+     * Returns whether the server has stopped answering all its flows that this instance sees, alone
+     * or with its failure domain. It has crashed, or it cannot be reached from here.
+     */
+    bool isSilent(server_key server, time_point now) const;
     const server_condition &condition(server_key server) const;
 
     /** Forgets a server, for example because it has started again. */
@@ -64,6 +83,12 @@
 
 private:
     std::unordered_map<server_key, server_condition> m_conditions;
+    void suspect(server_key server, time_point now);
+    void setAside(server_key server, server_condition &state, time_point now);
+    bool isDomainSilent(server_key server, time_point now) const;
+
+    std::unordered_map<server_key, std::string> m_domainOf;
+    std::unordered_map<std::string, domain_condition> m_domains;
     std::vector<trust_change> m_changes;
 };
 
--- a/packages/forwarding/edge/decision_log.cpp
+++ b/packages/forwarding/edge/decision_log.cpp
@@ -68,7 +68,8 @@
     m_log.write({log_level::Warn,
                  change.setAside ? "backend_server_set_aside" : "backend_server_answers_again",
                  {{"backend_server", serverText(change.server)},
-                  {"silences", std::uint64_t{change.silences}}}});
+                  {"silences", std::uint64_t{change.silences}},
+                  {"suspicions", std::uint64_t{change.suspicions}}}});
 }
 
 void decision_log::onOpened(const flow_id &, server_key, duration after)
--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -9,8 +9,11 @@
 
 using namespace std::chrono_literals;
 
-// Finds overdue offers and idle flows; callers repeat an opening packet after 200 ms.
-constexpr duration TickInterval = 200ms;
+// Finds overdue offers, which are answered within 60 ms otherwise.
+constexpr duration TickInterval = 20ms;
+
+// Ends idle flows and reports loads.
+constexpr duration SlowTickInterval = 200ms;
 
 } // namespace
 
@@ -71,10 +74,11 @@
 void traffic_loop::carryOut(const forwarding_decision &decision, const flow_packet &packet,
                             std::span<const std::byte> bytes)
 {
-    if (const auto *forward = std::get_if<forward_packet>(&decision)) {
-        m_frame.encodeForServer(bytes, forward->server, forward->token, m_buffer);
-        ++m_counters.forwarded;
-        send(forward->address);
+    if (const auto *target = std::get_if<forward_packet>(&decision)) {
+        if (packet.opens) {
+            m_openingPackets[packet.flow].assign(bytes.begin(), bytes.end());
+        }
+        forward(*target, bytes);
         return;
     }
     if (std::holds_alternative<reset_flow>(decision)) {
@@ -83,6 +87,24 @@
     }
 }
 
+void traffic_loop::forward(const forward_packet &target, std::span<const std::byte> packet)
+{
+    m_frame.encodeForServer(packet, target.server, target.token, m_buffer);
+    ++m_counters.forwarded;
+    send(target.address);
+}
+
+void traffic_loop::offerAgain(time_point now)
+{
+    for (const further_offer &offer : m_forwarder.offerAgain(now)) {
+        const auto packet = m_openingPackets.find(offer.flow);
+        if (packet == m_openingPackets.end()) {
+            continue;
+        }
+        forward(offer.target, packet->second);
+    }
+}
+
 void traffic_loop::send(const endpoint &to)
 {
     if (!m_socket.send(to, m_buffer.bytes())) {
@@ -94,7 +116,14 @@
 void traffic_loop::tick()
 {
     const time_point now = std::chrono::steady_clock::now();
+    offerAgain(now);
+    if (now < m_nextSlowTick) {
+        return;
+    }
+    m_nextSlowTick = now + SlowTickInterval;
     m_forwarder.tick(now);
+    std::erase_if(m_openingPackets,
+                  [this](const auto &item) { return !m_forwarder.isOpening(item.first); });
     m_counters.flows = m_forwarder.flowCount();
     m_onLoads(m_forwarder.loads());
 }
--- a/packages/forwarding/edge/traffic_loop.h
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace ebonyway {
@@ -38,6 +39,8 @@
     void onDatagram(int tag, std::span<const std::byte> bytes, const endpoint &from) override;
     void carryOut(const forwarding_decision &decision, const flow_packet &packet,
                   std::span<const std::byte> bytes);
+    void forward(const forward_packet &target, std::span<const std::byte> packet);
+    void offerAgain(time_point now);
     void send(const endpoint &to);
     void tick();
 
@@ -50,6 +53,8 @@
     datagram_socket m_socket;
     std::uint16_t m_callerPort = 0; ///< Callers receive at the port that this instance listens on.
     datagram_buffer m_buffer;
+    std::unordered_map<flow_id, std::vector<std::byte>> m_openingPackets; ///< To offer again.
+    time_point m_nextSlowTick;
     std::atomic<duration::rep> m_lastPacket = 0;
 };
 
--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -71,6 +71,7 @@
     endpoint address;
     std::vector<service_share> shares;
     std::uint32_t priority = 0; ///< Zero is the most important.
+    bool idempotent = false; ///< Callers may repeat a request after any failure.
     std::chrono::milliseconds goal{0}; ///< Response time that callers expect.
     std::chrono::milliseconds timeout{0}; ///< Response time after which the answer is worthless.
 };
--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -199,6 +199,7 @@
     // "host" of a route is its public address.
     const auto address = ip_address::parse(members.text("host"));
     const auto port = decodeRoutePort(members.text("pathPrefix"));
+    item.idempotent = members.text("kind") == "idempotent";
     item.priority = static_cast<std::uint32_t>(members.numberOr("priority", 0));
     item.goal = members.millisOr("goalMs", 0);
     item.timeout = members.millisOr("timeoutMs", 0);
--- /dev/null
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -0,0 +1,412 @@
+#include "forwarding/connection/forwarder.h"
+#include "forwarding/directory_samples.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct recording_observer : forwarding_observer
+{
+    std::vector<placement_record> placements;
+    std::vector<refusal_record> refusals;
+    std::vector<trust_change> verdicts;
+
+    void onPlacement(const placement_record &record) override { placements.push_back(record); }
+    void onRefusal(const refusal_record &record) override { refusals.push_back(record); }
+    void onTrustChange(const trust_change &change) override { verdicts.push_back(change); }
+    void onOpened(const flow_id &, server_key, duration) override { }
+};
+
+/** An instance in domain "a" with servers 1 to 3 there and 4 to 6 in domain "b". */
+struct forwarder_fixture
+{
+    recording_observer observer;
+    forwarder subject{{"a", 7, 1'024}, observer};
+    directory_builder knowledge{{}};
+    time_point now{1'000s};
+    std::uint64_t revision = 10;
+    std::uint16_t nextPort = 2'000;
+
+    forwarder_fixture()
+    {
+        learn(samples::desiredState(1));
+        for (const std::uint64_t key : {1, 2, 3}) {
+            learn(samples::entry(key, "a"));
+        }
+        for (const std::uint64_t key : {4, 5, 6}) {
+            learn(samples::entry(key, "b"));
+        }
+        knowledge.retainListed(store_kind::BackendServers,
+                               {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}, revision, now);
+        publish();
+    }
+
+    void learn(const desired_state &state)
+    {
+        knowledge.apply(store_kind::DesiredState, samples::object(state, ++revision), now);
+    }
+    void learn(const backend_server_entry &entry)
+    {
+        knowledge.apply(store_kind::BackendServers, samples::object(entry, ++revision), now);
+    }
+    void depart(std::uint64_t key)
+    {
+        knowledge.apply(store_kind::BackendServers, samples::gone(key, ++revision), now);
+    }
+    void publish() { subject.adopt(knowledge.snapshot()); }
+
+    flow_packet opening(const endpoint &service, std::uint32_t copy = 0)
+    {
+        flow_packet packet;
+        packet.flow = {samples::address(0x64400007, nextPort), service};
+        packet.opens = true;
+        packet.acknowledged = copy;
+        return packet;
+    }
+
+    flow_packet newFlow(const endpoint &service = samples::feedAddress())
+    {
+        ++nextPort;
+        return opening(service);
+    }
+
+    /** A later packet of a flow that its server has accepted. */
+    static flow_packet later(const flow_packet &first, flow_token token, std::uint32_t sequence,
+                             std::uint16_t length, std::uint32_t acknowledged)
+    {
+        flow_packet packet;
+        packet.flow = first.flow;
+        packet.acknowledges = true;
+        packet.token = token;
+        packet.sequence = sequence;
+        packet.dataLength = length;
+        packet.acknowledged = acknowledged;
+        return packet;
+    }
+
+    server_key serverOf(const forwarding_decision &decision)
+    {
+        const auto *target = std::get_if<forward_packet>(&decision);
+        return target ? target->server : server_key{};
+    }
+
+    /** Opens a flow and returns its first packet and its token. */
+    std::pair<flow_packet, flow_token> openFlow(const endpoint &service = samples::feedAddress())
+    {
+        const flow_packet first = newFlow(service);
+        const forwarding_decision decision = subject.decide(first, now);
+        const flow_token token = std::get<forward_packet>(decision).token;
+        now += 10ms;
+        subject.decide(later(first, token, 1, 0, 1), now);
+        return {first, token};
+    }
+
+    bool isReset(const forwarding_decision &decision, refusal_reason reason)
+    {
+        const auto *reset = std::get_if<reset_flow>(&decision);
+        return reset && reset->reason == reason;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(forwarder_fixture, "open flow, packet at another instance, follows its token")
+{
+    recording_observer otherObserver;
+    forwarder other({"b", 9, 1'024}, otherObserver);
+    other.adopt(knowledge.snapshot());
+    const auto [first, token] = openFlow();
+    const auto decision = other.decide(later(first, token, 1, 100, 1), now);
+    CHECK(std::get<forward_packet>(decision).token == token);
+    CHECK(serverOf(decision) == observer.placements.front().server);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "new flows, own domain answers, stay in the own domain")
+{
+    std::map<std::uint64_t, int> flows;
+    for (int i = 0; i < 90; ++i) {
+        const flow_packet first = newFlow();
+        const auto decision = subject.decide(first, now);
+        const auto target = std::get<forward_packet>(decision);
+        ++flows[target.server.value];
+        now += 10ms;
+        auto last = later(first, target.token, 1, 0, 1);
+        last.finishes = true;
+        subject.decide(last, now);
+    }
+    CHECK(flows.size() == 3);
+    CHECK(flows.count(4) + flows.count(5) + flows.count(6) == 0);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "new flows, own domain is busy, go to the other domain too")
+{
+    std::set<std::uint64_t> used;
+    for (int i = 0; i < 60; ++i) {
+        const auto [first, token] = openFlow();
+        subject.decide(later(first, token, 1, 100, 1), now);
+        used.insert(observer.placements.back().server.value);
+    }
+    CHECK(used.size() == 6);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "departed server, open flow, is still forwarded")
+{
+    const auto [first, token] = openFlow();
+    const server_key server = observer.placements.back().server;
+    depart(server.value);
+    publish();
+    CHECK(serverOf(subject.decide(later(first, token, 1, 50, 1), now)) == server);
+    for (int i = 0; i < 20; ++i) {
+        CHECK(serverOf(subject.decide(newFlow(), now)) != server);
+    }
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "unknown route, new flow, is reset at once")
+{
+    CHECK(isReset(subject.decide(newFlow(samples::address(0xc6120009, 1)), now),
+                  refusal_reason::NoRoute));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "unknown route, copy of an opening packet, is dropped")
+{
+    // Another instance may have forwarded the first packet.
+    const auto decision = subject.decide(opening(samples::address(0xc6120009, 1), 1), now);
+    CHECK(std::holds_alternative<drop_packet>(decision));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "withdrawn route, open flow, is reset")
+{
+    const auto [first, token] = openFlow();
+    desired_state without = samples::desiredState(2);
+    without.routes.erase(without.routes.begin());
+    learn(without);
+    publish();
+    CHECK(isReset(subject.decide(later(first, token, 1, 50, 1), now),
+                  refusal_reason::RouteWithdrawn));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "no usable server, new flow, is reset at once")
+{
+    for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
+        depart(key);
+    }
+    publish();
+    CHECK(isReset(subject.decide(newFlow(), now), refusal_reason::NoServerUsable));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "no usable server, unseen flow's copy, is not refused as not run")
+{
+    for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
+        depart(key);
+    }
+    publish();
+    ++nextPort;
+    const auto decision = subject.decide(opening(samples::feedAddress(), 1), now);
+    CHECK(std::holds_alternative<drop_packet>(decision));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "unknown token, packet, is dropped without a reset")
+{
+    const auto [first, token] = openFlow();
+    const auto decision = subject.decide(later(first, flow_token{0x1234}, 1, 50, 1), now);
+    CHECK(std::get<drop_packet>(decision).reason == refusal_reason::UnknownToken);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "silent server, copies of an opening packet, go to other servers")
+{
+    const flow_packet first = newFlow();
+    const server_key one = serverOf(subject.decide(first, now));
+    const server_key two =
+            serverOf(subject.decide(opening(samples::feedAddress(), 1), now + 200ms));
+    const server_key three =
+            serverOf(subject.decide(opening(samples::feedAddress(), 2), now + 600ms));
+    CHECK(one != two);
+    CHECK(two != three);
+    CHECK(one != three);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "unanswered offer, after the answer time, is offered to another")
+{
+    const flow_packet first = newFlow();
+    const server_key one = serverOf(subject.decide(first, now));
+    CHECK(subject.offerAgain(now + 50ms).empty());
+    const auto offers = subject.offerAgain(now + 70ms);
+    REQUIRE(offers.size() == 1);
+    CHECK(offers.front().flow == first.flow);
+    CHECK(offers.front().target.server != one);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "answered offer, after the answer time, is not offered again")
+{
+    openFlow();
+    CHECK(subject.offerAgain(now + 100ms).empty());
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "server that answers nobody, two offers, is set aside and tried later")
+{
+    // Only server 1 and the servers of the other domain are left.
+    depart(2);
+    depart(3);
+    publish();
+    for (int i = 0; i < 2; ++i) {
+        CHECK(serverOf(subject.decide(newFlow(), now)) == server_key{1});
+        now += 70ms;
+        subject.offerAgain(now);
+    }
+    subject.tick(now);
+    REQUIRE(observer.verdicts.size() == 1);
+    CHECK(observer.verdicts.front().setAside);
+    CHECK(serverOf(subject.decide(newFlow(), now)) != server_key{1});
+    CHECK(subject.evidence().trustIn(server_key{1}, now + 1'100ms) == server_trust::OnTrial);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "lost burst of one flow, its server serves others, resets nothing")
+{
+    // On a calm day of the platform a lost packet made a caller repeat 16 packets at once, which
+    // counted as 16 signs, and flows of the server were reset.
+    const auto [upload, uploadToken] = openFlow(samples::orderAddress());
+    const server_key server = observer.placements.back().server;
+    flow_packet feed;
+    flow_token feedToken;
+    do {
+        std::tie(feed, feedToken) = openFlow();
+    } while (observer.placements.back().server != server);
+    for (std::uint32_t i = 0; i < 16; ++i) {
+        subject.decide(later(upload, uploadToken, 1 + i * 1'200, 1'200, 1), now);
+    }
+    for (int round = 0; round < 2; ++round) {
+        now += 200ms;
+        for (std::uint32_t i = 0; i < 16; ++i) {
+            subject.decide(later(upload, uploadToken, 1 + i * 1'200, 1'200, 1), now);
+        }
+    }
+    CHECK_FALSE(subject.evidence().isSilent(server, now));
+    CHECK(serverOf(subject.decide(later(feed, feedToken, 1, 100, 1), now)) == server);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "crashed servers, same domain as a quiet one, leave its flows alone")
+{
+    // Several crashes in one domain once ended flows of the domain's other servers, which had
+    // nothing to answer just then.
+    std::map<std::uint64_t, std::pair<flow_packet, flow_token>> flows;
+    while (flows.size() < 3) {
+        auto opened = openFlow();
+        flows[observer.placements.back().server.value] = opened;
+    }
+    for (const std::uint64_t crashed : {1, 2}) {
+        subject.decide(later(flows[crashed].first, flows[crashed].second, 1, 100, 1), now);
+    }
+    for (const auto pause : {200ms, 400ms, 800ms}) {
+        now += pause;
+        for (const std::uint64_t crashed : {1, 2}) {
+            subject.decide(later(flows[crashed].first, flows[crashed].second, 1, 100, 1), now);
+        }
+    }
+    CHECK(subject.evidence().isSilent(server_key{1}, now));
+    CHECK_FALSE(subject.evidence().isSilent(server_key{3}, now));
+    CHECK(serverOf(subject.decide(later(flows[3].first, flows[3].second, 1, 100, 1), now))
+          == server_key{3});
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "silent server, idempotent flow, is reset so that its caller retries")
+{
+    const auto [first, token] = openFlow();
+    forwarding_decision decision = subject.decide(later(first, token, 1, 100, 1), now);
+    for (const auto pause : {200ms, 400ms, 800ms}) {
+        now += pause;
+        decision = subject.decide(later(first, token, 1, 100, 1), now);
+    }
+    CHECK(isReset(decision, refusal_reason::BackendServerDead));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "silent server, flow that must not run twice, is not reset")
+{
+    const auto [first, token] = openFlow(samples::orderAddress());
+    forwarding_decision decision = subject.decide(later(first, token, 1, 100, 1), now);
+    for (const auto pause : {200ms, 400ms, 800ms}) {
+        now += pause;
+        decision = subject.decide(later(first, token, 1, 100, 1), now);
+    }
+    CHECK(std::holds_alternative<forward_packet>(decision));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "cold servers, warm ones answer, get no flow")
+{
+    learn(samples::desiredState(2, 20));
+    backend_server_entry cold = samples::entry(1, "a");
+    cold.coldRemaining = 2'000ms;
+    learn(cold);
+    publish();
+    for (int i = 0; i < 30; ++i) {
+        openFlow();
+        CHECK(observer.placements.back().server != server_key{1});
+    }
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "only cold servers, many flows, keep to this instance's share")
+{
+    learn(samples::desiredState(2, 20));
+    for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
+        depart(key);
+    }
+    backend_server_entry cold = samples::entry(7, "a");
+    cold.coldRemaining = 2'000ms;
+    learn(cold);
+    publish();
+    subject.setInstances(4);
+    const std::size_t before = observer.placements.size();
+    for (int i = 0; i < 100; ++i) {
+        subject.decide(newFlow(), now);
+        now += 10ms;
+    }
+    // A quarter of 20 flows a second for one second, and the first one at once.
+    CHECK(observer.placements.size() - before <= 6);
+    CHECK(observer.placements.size() - before >= 4);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "cold servers without room, last copy, is refused")
+{
+    for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
+        backend_server_entry cold = samples::entry(key, "a");
+        cold.coldRemaining = 2'000ms;
+        learn(cold);
+    }
+    publish();
+    CHECK(std::holds_alternative<drop_packet>(subject.decide(newFlow(), now)));
+    CHECK(std::holds_alternative<drop_packet>(
+            subject.decide(opening(samples::feedAddress(), 1), now + 200ms)));
+    CHECK(isReset(subject.decide(opening(samples::feedAddress(), 2), now + 600ms),
+                  refusal_reason::Overloaded));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "packet that only a server sends, from a caller, is dropped")
+{
+    flow_packet forged = newFlow();
+    forged.acknowledges = true;
+    CHECK(std::get<drop_packet>(subject.decide(forged, now)).reason == refusal_reason::Malformed);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "full flow table, new flow, is forwarded all the same")
+{
+    forwarder small({"a", 7, 1}, observer);
+    small.adopt(knowledge.snapshot());
+    CHECK(std::holds_alternative<forward_packet>(small.decide(newFlow(), now)));
+    CHECK(std::holds_alternative<forward_packet>(small.decide(newFlow(), now)));
+    CHECK(small.flowCount() == 1);
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/tests/forwarding/directory_samples.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "forwarding/version/directory_builder.h"
+
+#include <chrono>
+#include <string>
+
+namespace ebonyway {
+
+/** Builds store objects and directories for tests. Server n has the key n and the name "i-<n in
+ * hex>". */
+namespace samples {
+
+inline endpoint address(std::uint32_t host, std::uint16_t port)
+{
+    return endpoint{ip_address::fromV4(host), port};
+}
+
+/** Public address of the feed, whose requests may be repeated. */
+inline endpoint feedAddress()
+{
+    return address(0xc6120001, 8443);
+}
+
+/** Public address of the orders, whose requests run at most once. */
+inline endpoint orderAddress()
+{
+    return address(0xc6120001, 8080);
+}
+
+inline std::string serverName(std::uint64_t key)
+{
+    char text[24] = {};
+    std::snprintf(text, sizeof(text), "i-%llx", static_cast<unsigned long long>(key));
+    return text;
+}
+
+inline backend_server_entry entry(std::uint64_t key, const std::string &domain,
+                                  const std::string &service = "desk")
+{
+    backend_server_entry made;
+    made.key = server_key{key};
+    made.service = service;
+    made.address = address(0x0a800000 + static_cast<std::uint32_t>(key), 8080);
+    made.failureDomain = domain;
+    made.slots = 4;
+    made.startedAt = std::chrono::milliseconds(1'000);
+    return made;
+}
+
+inline store_object object(const backend_server_entry &made, std::uint64_t revision)
+{
+    return {serverName(made.key.value), revision, false, store_value(made), {}};
+}
+
+inline store_object gone(std::uint64_t key, std::uint64_t revision)
+{
+    return {serverName(key), revision, true, {}, {}};
+}
+
+inline desired_state desiredState(std::uint64_t version, double coldRate = 0)
+{
+    desired_state state;
+    state.version = version;
+    route feed;
+    feed.name = "feed";
+    feed.address = feedAddress();
+    feed.shares = {{"desk", 1}};
+    feed.idempotent = true;
+    route order = feed;
+    order.name = "order";
+    order.address = orderAddress();
+    order.idempotent = false;
+    state.routes = {feed, order};
+    state.services = {{"desk", 2'000, std::chrono::milliseconds(2'000), coldRate}};
+    state.idleTimeout = std::chrono::milliseconds(15'000);
+    return state;
+}
+
+inline store_object object(const desired_state &state, std::uint64_t revision)
+{
+    return {"main", revision, false, store_value(state), {}};
+}
+
+} // namespace samples
+
+} // namespace ebonyway
--- /dev/null
+++ b/tests/forwarding/process/store_follower_test.cpp
@@ -0,0 +1,193 @@
+#include "forwarding/directory_samples.h"
+#include "forwarding/process/pause_detector.h"
+#include "forwarding/process/planned_stop.h"
+#include "forwarding/process/store_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct follower_fixture
+{
+    directory_builder knowledge{{}};
+    store_follower subject{knowledge, 3};
+    time_point now{1'000s};
+    store_step step;
+
+    const store_call *callOf(store_kind kind) const
+    {
+        for (const store_call &call : step.calls) {
+            if (call.kind == kind) {
+                return &call;
+            }
+        }
+        return nullptr;
+    }
+
+    void advance() { step = subject.next(now); }
+
+    void answer(store_kind kind, store_page page) { subject.onAnswer(kind, page, now); }
+
+    /** Lists all kinds and starts the watches. */
+    void listAll()
+    {
+        advance();
+        answer(store_kind::DesiredState,
+               {{samples::object(samples::desiredState(1), 5)}, 20, false, "main"});
+        answer(store_kind::BackendServers,
+               {{samples::object(samples::entry(1, "a"), 6)}, 20, false, "i-1"});
+        answer(store_kind::Evacuations, {{}, 20, false, ""});
+        advance();
+    }
+
+    void fail(store_kind kind, store_failure::cause cause)
+    {
+        subject.onAnswer(kind, store_failure{cause, "test"}, now);
+    }
+
+    bool hasEvent(const std::string &name)
+    {
+        const auto events = subject.takeEvents();
+        return std::any_of(events.begin(), events.end(),
+                           [&](const store_event &event) { return event.event == name; });
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "start, every kind, is listed and then watched from the list's revision")
+{
+    listAll();
+    CHECK(knowledge.isComplete());
+    REQUIRE(step.calls.size() == 3);
+    for (const store_call &call : step.calls) {
+        CHECK(call.watch);
+        CHECK(call.revision == 20);
+    }
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "list of several pages, change in between, is watched from the first page")
+{
+    advance();
+    answer(store_kind::BackendServers,
+           {{samples::object(samples::entry(1, "a"), 6)}, 20, true, "i-1"});
+    advance();
+    REQUIRE(callOf(store_kind::BackendServers));
+    CHECK(callOf(store_kind::BackendServers)->after == "i-1");
+    answer(store_kind::BackendServers,
+           {{samples::object(samples::entry(2, "a"), 7)}, 25, false, "i-2"});
+    advance();
+    CHECK(callOf(store_kind::BackendServers)->revision == 20);
+    CHECK(knowledge.serverCount() == 2);
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "watch, history gone, lists the kind anew")
+{
+    listAll();
+    fail(store_kind::BackendServers, store_failure::cause::HistoryGone);
+    advance();
+    REQUIRE(callOf(store_kind::BackendServers));
+    CHECK_FALSE(callOf(store_kind::BackendServers)->watch);
+    CHECK(subject.storeAnswers());
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "silent store, one failed watch, renews all and probes with one kind")
+{
+    listAll();
+    fail(store_kind::DesiredState, store_failure::cause::Unreachable);
+    advance();
+    CHECK(step.cancels.size() == 2);
+    CHECK(step.calls.size() == 1);
+    CHECK_FALSE(step.calls.front().watch);
+    CHECK(hasEvent("store_lost"));
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "store down for a minute, tries, are at most two a second")
+{
+    listAll();
+    fail(store_kind::DesiredState, store_failure::cause::TurnedAway);
+    int calls = 0;
+    for (int i = 0; i < 1'200; ++i) {
+        advance();
+        calls += static_cast<int>(step.calls.size());
+        if (!step.calls.empty()) {
+            fail(step.calls.front().kind, store_failure::cause::TurnedAway);
+        }
+        now += 50ms;
+    }
+    CHECK(calls >= 60);
+    CHECK(calls <= 122);
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "store back after an outage, other kinds, are watched from where they were")
+{
+    listAll();
+    fail(store_kind::DesiredState, store_failure::cause::Unreachable);
+    advance();
+    now += 4s;
+    answer(store_kind::DesiredState, {{}, 30, false, ""});
+    CHECK(hasEvent("store_regained"));
+    advance();
+    REQUIRE(callOf(store_kind::BackendServers));
+    CHECK(callOf(store_kind::BackendServers)->watch);
+    CHECK(callOf(store_kind::BackendServers)->revision == 20);
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "server that lapsed in an outage, store back, is usable for two seconds more")
+{
+    listAll();
+    fail(store_kind::DesiredState, store_failure::cause::Unreachable);
+    advance();
+    now += 4s;
+    answer(store_kind::DesiredState, {{}, 30, false, ""});
+    advance();
+    answer(store_kind::BackendServers, {{samples::gone(1, 28)}, 30, false, ""});
+    CHECK(knowledge.snapshot()->candidates("desk").size() == 1);
+    knowledge.expire(now + 3s);
+    CHECK(knowledge.snapshot()->candidates("desk").empty());
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "paused process, all calls, are renewed")
+{
+    listAll();
+    subject.renew(now);
+    advance();
+    CHECK(step.cancels.size() == 3);
+    CHECK(step.calls.size() == 3);
+}
+
+TEST_CASE("pause detector, suspended machine, reports the time that the monotonic clock missed")
+{
+    pause_detector subject;
+    const time_point now{10s};
+    CHECK_FALSE(subject.check(now, 100s));
+    CHECK_FALSE(subject.check(now + 50ms, 100'050ms));
+    const auto pause = subject.check(now + 100ms, 104'100ms);
+    REQUIRE(pause);
+    CHECK(*pause >= 4s);
+}
+
+TEST_CASE("planned stop, routers still send, serves until the grace is nearly over")
+{
+    planned_stop subject(6s);
+    const time_point start{10s};
+    CHECK_FALSE(subject.mayExit(start, start));
+    subject.request(start);
+    CHECK_FALSE(subject.mayExit(start + 1s, start));
+    CHECK(subject.mayExit(start + 1'300ms, start + 700ms));
+    CHECK_FALSE(subject.mayExit(start + 3s, start + 2'900ms));
+    CHECK(subject.mayExit(start + 5s, start + 5s));
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -0,0 +1,168 @@
+#include "core/seeded_random.h"
+#include "forwarding/directory_samples.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct directory_fixture
+{
+    directory_builder subject{{1'200ms}};
+    time_point now{1'000s};
+
+    directory_fixture()
+    {
+        subject.apply(store_kind::DesiredState, samples::object(samples::desiredState(5), 10), now);
+        subject.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 11), now);
+        subject.apply(store_kind::BackendServers, samples::object(samples::entry(2, "b"), 12), now);
+    }
+
+    server_standing standing(std::uint64_t key)
+    {
+        return subject.snapshot()->byToken(tokenOf(server_key{key}))->standing;
+    }
+    std::size_t candidates() { return subject.snapshot()->candidates("desk").size(); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(directory_fixture, "desired state, older version at a newer revision, is ignored")
+{
+    subject.apply(store_kind::DesiredState, samples::object(samples::desiredState(4), 20), now);
+    CHECK(subject.desiredVersion() == 5);
+    subject.apply(store_kind::DesiredState, samples::object(samples::desiredState(7), 21), now);
+    CHECK(subject.desiredVersion() == 7);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "desired state, deleted, stays in force")
+{
+    subject.apply(store_kind::DesiredState, {"main", 30, true, {}, {}}, now);
+    CHECK(subject.snapshot()->routes().routes.size() == 2);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "server, older revision, changes nothing")
+{
+    backend_server_entry draining = samples::entry(1, "a");
+    draining.draining = true;
+    subject.apply(store_kind::BackendServers, samples::object(draining, 20), now);
+    subject.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 15), now);
+    CHECK(standing(1) == server_standing::Draining);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server entry, unreadable, takes the server out and keeps the others")
+{
+    subject.apply(store_kind::BackendServers, {"i-1", 20, false, {}, "slots is not a number"}, now);
+    CHECK(standing(1) == server_standing::Departed);
+    CHECK(standing(2) == server_standing::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "server, missing from a complete list, departs")
+{
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    CHECK(standing(1) == server_standing::Departed);
+    CHECK(candidates() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "server, newer than the list, does not depart")
+{
+    subject.apply(store_kind::BackendServers, samples::object(samples::entry(3, "a"), 40), now);
+    subject.retainListed(store_kind::BackendServers, {"i-1", "i-2"}, 30, now);
+    CHECK(standing(3) == server_standing::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "lapsed server, store just back, stays until it could register again")
+{
+    subject.onStoreRegained(now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    CHECK(standing(1) == server_standing::Usable);
+    subject.expire(now + 1'900ms);
+    CHECK(standing(1) == server_standing::Usable);
+    subject.expire(now + 2'300ms);
+    CHECK(standing(1) == server_standing::Departed);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "lapsed server, registers again, stays usable")
+{
+    subject.onStoreRegained(now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    subject.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 31),
+                  now + 1s);
+    subject.expire(now + 3s);
+    CHECK(standing(1) == server_standing::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "draining server, gone during an outage, departs at once")
+{
+    backend_server_entry draining = samples::entry(1, "a");
+    draining.draining = true;
+    subject.apply(store_kind::BackendServers, samples::object(draining, 20), now);
+    subject.onStoreRegained(now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    CHECK(standing(1) == server_standing::Departed);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "departed server, after the longest flow, is forgotten")
+{
+    subject.apply(store_kind::BackendServers, samples::gone(1, 20), now);
+    subject.expire(now + 61s);
+    CHECK(subject.serverCount() == 2);
+    subject.expire(now + 91s);
+    CHECK(subject.serverCount() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "evacuated domain, its servers, get no new flows until it ends")
+{
+    subject.apply(store_kind::Evacuations, {"a", 20, false, store_value(evacuation{"a"}), {}}, now);
+    CHECK(candidates() == 1);
+    subject.apply(store_kind::Evacuations, {"a", 21, true, {}, {}}, now);
+    CHECK(candidates() == 2);
+    const auto known = subject.snapshot();
+    CHECK(known->byToken(tokenOf(server_key{1}))->coldUntil > now + 3s);
+    CHECK(known->byToken(tokenOf(server_key{2}))->coldUntil <= now);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "evacuation, missing from a complete list, has ended")
+{
+    subject.apply(store_kind::Evacuations, {"a", 20, false, store_value(evacuation{"a"}), {}}, now);
+    subject.retainListed(store_kind::Evacuations, {}, 30, now);
+    CHECK(candidates() == 2);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "two servers, same token, only the lower key gets flows")
+{
+    std::map<flow_token, std::uint64_t> seen;
+    seeded_random random(1);
+    std::uint64_t low = 0;
+    std::uint64_t high = 0;
+    // The digest has 32 bits, so two of some 80,000 random keys have the same one.
+    for (int i = 0; i < 1'000'000 && low == 0; ++i) {
+        const std::uint64_t key = random.next();
+        const auto [found, isNew] = seen.emplace(tokenOf(server_key{key}), key);
+        if (!isNew) {
+            low = std::min(key, found->second);
+            high = std::max(key, found->second);
+        }
+    }
+    REQUIRE(low != 0);
+    std::uint64_t revision = 20;
+    for (const std::uint64_t key : {high, low}) {
+        subject.apply(store_kind::BackendServers,
+                      samples::object(samples::entry(key, "a", "twins"), ++revision), now);
+    }
+    const auto known = subject.snapshot();
+    REQUIRE(known->candidates("twins").size() == 1);
+    CHECK(known->servers()[known->candidates("twins").front()].entry.key.value == low);
+    CHECK(known->byToken(tokenOf(server_key{high}))->entry.key.value == low);
+}
+
+} // namespace ebonyway
