Let one instance a failure domain read the store and tell the others

Change: heartbeats over UDP (cereal, bounded_archive moved to core) carry membership, revisions and loads; an instance that knows less pulls knowledge over HTTP from one that knows more. One reader a domain by rendezvous order; a reader that dies or is turned away is replaced within a second; without peers each reads itself.

Ruled out: pushing each change by datagram (needs acknowledgements and fragments for a desired state of 100 KB).

--- a/packages/process/bounded_archive.cpp
+++ b/packages/core/bounded_archive.cpp
@@ -1,4 +1,4 @@
-#include "process/bounded_archive.h"
+#include "core/bounded_archive.h"
 
 #include <cstring>
 
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -17,6 +17,14 @@
 // Timeouts of store calls are checked this often; they are 2 s and more.
 constexpr duration ControlTick = 50ms;
 
+// Three missed heartbeats make an instance count as silent within a second.
+constexpr duration HeartbeatInterval = 250ms;
+
+// A neighbour answers within milliseconds; another one is asked after that.
+constexpr duration PullTimeout = 500ms;
+
+constexpr const char *KnowledgePath = "/knowledge";
+
 // Expiry of lapsed entries, changed settings and suppressed log lines.
 constexpr duration SlowTick = 500ms;
 
@@ -33,6 +41,13 @@
     return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
 }
 
+std::uint64_t wallMillis()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 std::uint64_t seedOf(const std::string &instance)
 {
     // Differs between instances and starts, so that their retries and ties do not coincide.
@@ -54,6 +69,11 @@
     , m_readiness(m_control.loop(), [this](const std::string &path) { return readinessPage(path); })
     , m_metricsListener(m_control.loop(),
                         [this](const std::string &path) { return metricsPage(path); })
+    , m_peers({m_options.instance, m_options.failureDomain, m_options.peers, wallMillis(), 0, false,
+               false},
+              seedOf(m_options.instance))
+    , m_peerSocket(*this, 0)
+    , m_peerPages(m_control.loop(), [this](const std::string &path) { return knowledgePage(path); })
     , m_traffic(frame,
                 forwarder_options{m_options.failureDomain, seedOf(m_options.instance),
                                   m_options.flowCapacity},
@@ -81,11 +101,15 @@
                   {"store", m_options.store.toString()}}});
     for (const status &outcome :
          {m_traffic.start(m_options.traffic), m_readiness.open(m_options.readiness),
-          m_metricsListener.open(m_options.metrics)}) {
+          m_metricsListener.open(m_options.metrics), m_peerSocket.open(m_options.peers, false),
+          m_peerPages.open(m_options.peers)}) {
         if (!isOk(outcome)) {
             return outcome;
         }
     }
+    m_peerSocket.attach(m_control.loop());
+    m_peers.setSeeds(m_options.seeds);
+    sendHeartbeat(true, m_startedAt);
     followStore(m_startedAt);
     return std::monostate{};
 }
@@ -103,27 +127,105 @@
     const time_point now = std::chrono::steady_clock::now();
     checkPause(now);
     m_store->expire(now);
+    tickPeers(now);
     followStore(now);
+    logChanges();
     advanceStop(now);
     if (now < m_nextSlowTick) {
         return;
     }
     m_nextSlowTick = now + SlowTick;
     const auto expired = m_knowledge.expire(now);
-    for (const directory_change &change : expired) {
-        m_log.write({log_level::Info,
-                     change.event,
-                     {{"name", change.subject},
-                      {"revision", change.revision},
-                      {"detail", change.detail}}});
-    }
     if (!expired.empty()) {
-        publishKnowledge();
+        logAndPublish(expired);
     }
     checkSettings(now);
     m_log.writeSuppressed();
 }
 
+void forwarding_daemon::tickPeers(time_point now)
+{
+    m_peers.setStoreAnswers(m_published && m_follower.storeAnswers());
+    // Until it has read the store once, an instance does not leave the reading to others.
+    m_follower.setReading(!m_published || m_peers.isReader(now));
+    if (m_peerClient) {
+        m_peerClient->expire(now);
+    }
+    pullKnowledge(now);
+    if (now < m_nextHeartbeat) {
+        return;
+    }
+    m_nextHeartbeat = now + HeartbeatInterval;
+    sendHeartbeat(false, now);
+    m_traffic.setPeerLoads(m_peers.peerLoads(now), m_peers.liveCount(now));
+}
+
+void forwarding_daemon::sendHeartbeat(bool afterChange, time_point now)
+{
+    const auto bytes = encodePeerMessage(m_peers.heartbeat(m_knowledge.revisions(), m_loads));
+    for (const endpoint &target : m_peers.targets(afterChange, now)) {
+        // A lost heartbeat is followed by the next one.
+        m_peerSocket.send(target, bytes);
+    }
+}
+
+void forwarding_daemon::onDatagram(int, std::span<const std::byte> bytes, const endpoint &from)
+{
+    const auto message = decodePeerMessage(bytes);
+    if (!isOk(message)) {
+        m_log.write({log_level::Warn,
+                     "peer_message_refused",
+                     {{"from", from.toString()}, {"detail", errorOf(message).message}}});
+        return;
+    }
+    const time_point now = std::chrono::steady_clock::now();
+    m_peers.onMessage(valueOf(message), now);
+    pullKnowledge(now);
+}
+
+void forwarding_daemon::pullKnowledge(time_point now)
+{
+    if (m_peerClient && m_peerClient->isBusy()) {
+        return;
+    }
+    const auto source = m_peers.betterInformed(m_knowledge.revisions(), now);
+    // A reader waits a moment for the store to tell it the same.
+    if (!source || (m_follower.isReading() && m_follower.storeAnswers() && m_published)) {
+        return;
+    }
+    if (!m_peerClient || m_peerClientAddress != *source) {
+        m_peerClient = std::make_unique<http_client>(m_control.loop(), *source);
+        m_peerClientAddress = *source;
+    }
+    m_peerClient->call(
+            "GET", KnowledgePath, "", now + PullTimeout,
+            [this, from = *source](const result<http_response> &outcome) {
+                if (!isOk(outcome) || valueOf(outcome).status != 200) {
+                    m_log.write(
+                            {log_level::Warn, "knowledge_not_pulled", {{"from", from.toString()}}});
+                    return;
+                }
+                const auto passed = decodeKnowledge(valueOf(outcome).body);
+                if (!isOk(passed)) {
+                    m_log.write({log_level::Warn,
+                                 "knowledge_refused",
+                                 {{"from", from.toString()}, {"detail", errorOf(passed).message}}});
+                    return;
+                }
+                logAndPublish(
+                        m_knowledge.integrate(valueOf(passed), std::chrono::steady_clock::now()));
+            });
+}
+
+http_page forwarding_daemon::knowledgePage(const std::string &path) const
+{
+    if (path != KnowledgePath || !m_knowledge.isComplete()) {
+        return {404, "text/plain", "no such page\n"};
+    }
+    return {200, "application/octet-stream",
+            encodeKnowledge(m_knowledge.pass(std::chrono::steady_clock::now()))};
+}
+
 void forwarding_daemon::followStore(time_point now)
 {
     const store_step step = m_follower.next(now);
@@ -153,7 +255,11 @@
                       {"revision", event.revision},
                       {"outage_ms", millis(event.after)}}});
     }
-    const auto changes = m_follower.takeChanges();
+    logAndPublish(m_follower.takeChanges());
+}
+
+void forwarding_daemon::logAndPublish(const std::vector<directory_change> &changes)
+{
     for (const directory_change &change : changes) {
         m_log.write({log_level::Info,
                      change.event,
@@ -161,9 +267,11 @@
                       {"revision", change.revision},
                       {"detail", change.detail}}});
     }
-    if (!changes.empty() || (!m_published && m_knowledge.isComplete())) {
-        publishKnowledge();
+    if (changes.empty() && (m_published || !m_knowledge.isComplete())) {
+        return;
     }
+    publishKnowledge();
+    sendHeartbeat(true, std::chrono::steady_clock::now());
 }
 
 void forwarding_daemon::publishKnowledge()
@@ -211,6 +319,7 @@
     }
     // Addresses are bound at the start; peers are found anew from the changed seeds.
     m_options.seeds = valueOf(read).seeds;
+    m_peers.setSeeds(m_options.seeds);
     const bool needsRestart = !(valueOf(read) == m_options);
     m_log.write({needsRestart ? log_level::Warn : log_level::Info,
                  "settings_reloaded",
@@ -222,6 +331,8 @@
 {
     if (m_stopRequested && !m_stop.isRequested()) {
         m_stop.request(now);
+        m_peers.setLeaving();
+        sendHeartbeat(true, now);
         m_log.write({log_level::Info, "stopping", {{"instance", m_options.instance}}});
     }
     if (m_stop.mayExit(now, m_traffic.lastPacket())) {
@@ -252,6 +363,10 @@
     m_traffic.counters().appendTo(samples);
     samples.push_back({"ready", {}, isReady() ? 1.0 : 0.0});
     samples.push_back({"store_answers", {}, m_follower.storeAnswers() ? 1.0 : 0.0});
+    samples.push_back({"reads_store", {}, m_follower.isReading() ? 1.0 : 0.0});
+    samples.push_back({"instances_live",
+                       {},
+                       static_cast<double>(m_peers.liveCount(std::chrono::steady_clock::now()))});
     samples.push_back({"store_calls_total", {}, static_cast<double>(m_store->callCount())});
     samples.push_back({"desired_version", {}, static_cast<double>(m_knowledge.desiredVersion())});
     samples.push_back({"backend_servers", {}, static_cast<double>(m_knowledge.serverCount())});
--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -4,9 +4,12 @@
 #include "forwarding/edge/traffic_loop.h"
 #include "forwarding/process/forwarding_settings.h"
 #include "forwarding/process/pause_detector.h"
+#include "forwarding/process/peer_directory.h"
 #include "forwarding/process/planned_stop.h"
 #include "forwarding/process/store_follower.h"
 #include "forwarding/version/directory_builder.h"
+#include "io/datagram_socket.h"
+#include "io/http_client.h"
 #include "io/http_listener.h"
 #include "io/reactor_thread.h"
 #include "telemetry/bounded_event_log.h"
@@ -23,13 +26,13 @@
  * An instance that forwards flows by tokens. The control thread, which calls run(), follows the
  * store and answers status pages; the traffic thread forwards packets.
  */
-class forwarding_daemon
+class forwarding_daemon : private datagram_receiver
 {
 public:
     /** `settingsFile` is read again when it changes. */
     forwarding_daemon(const frame_adapter &frame, forwarding_settings options,
                       std::string settingsFile, event_log &log);
-    ~forwarding_daemon();
+    ~forwarding_daemon() override;
 
     /** Binds all ports and starts the traffic thread. Fails with Unavailable. */
     status start();
@@ -41,7 +44,12 @@
     void requestReload() { m_reloadRequested = true; }
 
 private:
+    void onDatagram(int tag, std::span<const std::byte> bytes, const endpoint &from) override;
+
     void tick();
+    void tickPeers(time_point now);
+    void sendHeartbeat(bool afterChange, time_point now);
+    void pullKnowledge(time_point now);
     void followStore(time_point now);
     void checkPause(time_point now);
     void checkSettings(time_point now);
@@ -50,6 +58,9 @@
     void publishKnowledge();
     void logChanges();
 
+    void logAndPublish(const std::vector<directory_change> &changes);
+
+    http_page knowledgePage(const std::string &path) const;
     http_page readinessPage(const std::string &path) const;
     http_page metricsPage(const std::string &path) const;
     bool isReady() const;
@@ -67,6 +78,14 @@
     http_listener m_readiness;
     http_listener m_metricsListener;
     std::unique_ptr<store_port> m_store;
+    peer_directory m_peers;
+    datagram_socket m_peerSocket;
+    http_listener m_peerPages;
+    std::unique_ptr<http_client> m_peerClient; ///< Of the last instance that knew more.
+    endpoint m_peerClientAddress;
+    std::vector<server_load> m_loads;
+    time_point m_nextHeartbeat;
+    time_point m_startedReading;
     traffic_loop m_traffic;
 
     std::atomic<bool> m_stopRequested = false;
--- a/packages/forwarding/process/forwarding_settings.cpp
+++ b/packages/forwarding/process/forwarding_settings.cpp
@@ -32,6 +32,9 @@
     settings.metrics = reader.addressWithPort("metrics");
     settings.peers = reader.addressWithPort("peers");
     settings.seeds = reader.addressesWithPort("seeds");
+    for (endpoint &seed : settings.seeds) {
+        seed.port = settings.peers.port;
+    }
     settings.store = reader.addressWithPort("store");
     settings.heartbeat = reader.durationOr("heartbeat", 50ms, 60s, settings.heartbeat);
     settings.stopGrace = reader.durationOr("stop_grace", 100ms, 10min, settings.stopGrace);
--- a/packages/forwarding/process/forwarding_settings.h
+++ b/packages/forwarding/process/forwarding_settings.h
@@ -19,8 +19,8 @@
     endpoint traffic; ///< UDP: packets of callers arrive here.
     endpoint readiness; ///< HTTP: routers ask here whether this instance takes packets.
     endpoint metrics; ///< HTTP: counters and latencies.
-    endpoint peers; ///< UDP: messages of other instances.
-    std::vector<endpoint> seeds; ///< Peer addresses of some other instances.
+    endpoint peers; ///< UDP and TCP: messages of other instances, on the same port everywhere.
+    std::vector<endpoint> seeds; ///< Some other instances; the port in the file does not matter.
     endpoint store;
 
     std::chrono::milliseconds heartbeat{1200}; ///< Interval of the backend servers' reports.
--- /dev/null
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -0,0 +1,210 @@
+#include "forwarding/process/peer_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Three missed heartbeats of 250 ms; the platform's bounds of 3 s leave time to read the store.
+constexpr duration LiveTime = 800ms;
+
+// An instance that was silent for this long is contacted no more; it will contact others itself.
+constexpr duration ForgetTime = 60s;
+
+// Up to this many instances everybody hears everybody, which makes loads and changes known at
+// once. Above it, heartbeats go to the own domain's reader and to a few others, so the messages an
+// instance handles do not grow with the deployment.
+constexpr std::size_t FullMeshInstances = 16;
+constexpr std::size_t RandomTargets = 3;
+
+// Others told in one heartbeat; with 60 bytes each they leave room for loads.
+constexpr std::size_t OthersTold = 6;
+
+std::uint64_t readerScore(const peer_entry &entry)
+{
+    return XXH3_64bits(entry.name.data(), entry.name.size());
+}
+
+} // namespace
+
+peer_directory::peer_directory(peer_entry self, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_random(seed)
+{ }
+
+void peer_directory::setSeeds(std::vector<endpoint> seeds)
+{
+    std::erase(seeds, m_self.address);
+    m_seeds = std::move(seeds);
+}
+
+void peer_directory::learn(const peer_entry &entry)
+{
+    if (entry.name == m_self.name || entry.leaving) {
+        return;
+    }
+    known_peer &peer = m_peers[entry.name];
+    const bool isNewer = std::pair(entry.boot, entry.heartbeat)
+                         > std::pair(peer.entry.boot, peer.entry.heartbeat);
+    if (!peer.heard && isNewer) {
+        peer.entry = entry;
+    }
+}
+
+void peer_directory::onMessage(const peer_message &message, time_point now)
+{
+    if (message.sender.name == m_self.name) {
+        return;
+    }
+    known_peer &peer = m_peers[message.sender.name];
+    const bool isOlder = std::pair(message.sender.boot, message.sender.heartbeat)
+                         < std::pair(peer.entry.boot, peer.entry.heartbeat);
+    if (isOlder && isLive(peer, now)) {
+        return;
+    }
+    peer = known_peer{message.sender, message.revisions, message.loads, now, true};
+    for (const peer_entry &entry : message.others) {
+        learn(entry);
+    }
+}
+
+bool peer_directory::isLive(const known_peer &peer, time_point now) const
+{
+    return peer.heard && now - peer.heardAt <= LiveTime && !peer.entry.leaving;
+}
+
+peer_message peer_directory::heartbeat(const known_revisions &revisions,
+                                       std::vector<server_load> loads)
+{
+    ++m_self.heartbeat;
+    peer_message message{m_self, revisions, {}, std::move(loads)};
+    if (m_peers.empty()) {
+        return message;
+    }
+    const std::size_t skip = m_random.below(m_peers.size());
+    std::size_t index = 0;
+    for (int round = 0; round < 2; ++round) {
+        for (const auto &[name, peer] : m_peers) {
+            const bool due = round == 0 ? index >= skip : index - m_peers.size() < skip;
+            ++index;
+            if (due && peer.heard && message.others.size() < OthersTold) {
+                message.others.push_back(peer.entry);
+            }
+        }
+    }
+    return message;
+}
+
+std::vector<endpoint> peer_directory::targets(bool afterChange, time_point now)
+{
+    std::erase_if(m_peers, [now](const auto &item) {
+        return item.second.heard && now - item.second.heardAt > ForgetTime;
+    });
+    std::vector<endpoint> targets;
+    const bool tellsDomain = afterChange || isReader(now);
+    const bool fullMesh = m_peers.size() < FullMeshInstances;
+    std::vector<endpoint> others;
+    for (const auto &[name, peer] : m_peers) {
+        const bool sameDomain = peer.entry.failureDomain == m_self.failureDomain;
+        if (fullMesh || (sameDomain && tellsDomain)) {
+            targets.push_back(peer.entry.address);
+            continue;
+        }
+        others.push_back(peer.entry.address);
+    }
+    for (std::size_t i = 0; i < RandomTargets && !others.empty(); ++i) {
+        const std::size_t chosen = m_random.below(others.size());
+        targets.push_back(others[chosen]);
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    for (const endpoint &seed : m_seeds) {
+        // Seeds may be stale, so they are contacted beside the known instances, but rarely.
+        const bool isKnown = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+            return item.second.entry.address == seed;
+        });
+        if (!isKnown && (m_peers.empty() || m_random.below(8) == 0)) {
+            targets.push_back(seed);
+        }
+    }
+    return targets;
+}
+
+bool peer_directory::isReader(time_point now) const
+{
+    for (const auto &[name, peer] : m_peers) {
+        const bool mayRead = peer.entry.failureDomain == m_self.failureDomain
+                             && peer.entry.storeAnswers && isLive(peer, now);
+        if (!mayRead) {
+            continue;
+        }
+        const bool comesFirst = !m_self.storeAnswers
+                                || std::pair(readerScore(peer.entry), name)
+                                           < std::pair(readerScore(m_self), m_self.name);
+        if (comesFirst) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::optional<endpoint> peer_directory::betterInformed(const known_revisions &own,
+                                                       time_point now) const
+{
+    const known_peer *best = nullptr;
+    for (const auto &[name, peer] : m_peers) {
+        if (!isLive(peer, now)) {
+            continue;
+        }
+        bool knowsMore = false;
+        for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
+            knowsMore = knowsMore || peer.revisions[kind] > own[kind];
+        }
+        const bool isCloser = best && best->entry.failureDomain != m_self.failureDomain
+                              && peer.entry.failureDomain == m_self.failureDomain;
+        if (knowsMore && (!best || isCloser)) {
+            best = &peer;
+        }
+    }
+    return best ? std::optional(best->entry.address) : std::nullopt;
+}
+
+std::size_t peer_directory::liveCount(time_point now) const
+{
+    std::size_t count = 1;
+    for (const auto &[name, peer] : m_peers) {
+        // Instances that fell silent may only be cut off; they still send to cold servers.
+        count += now - peer.heardAt <= ForgetTime || !peer.heard ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<server_load> peer_directory::peerLoads(time_point now) const
+{
+    std::map<server_key, server_load> sums;
+    for (const auto &[name, peer] : m_peers) {
+        if (!isLive(peer, now)) {
+            continue;
+        }
+        for (const server_load &load : peer.loads) {
+            server_load &sum = sums[load.server];
+            sum.server = load.server;
+            sum.busy += load.busy;
+            sum.open += load.open;
+        }
+    }
+    std::vector<server_load> loads;
+    loads.reserve(sums.size());
+    for (const auto &[key, load] : sums) {
+        loads.push_back(load);
+    }
+    return loads;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/process/peer_message.cpp
@@ -0,0 +1,90 @@
+#include "forwarding/process/peer_message.h"
+
+#include "core/bounded_archive.h"
+
+#include <cstdint>
+
+namespace ebonyway {
+
+namespace {
+
+// Instances of different versions ignore each other's messages and read the store themselves.
+constexpr std::uint32_t MessageVersion = 0x45570001;
+constexpr std::uint32_t KnowledgeVersion = 0x45580001;
+
+// Holds 2,800 backend servers and 1,800 routes. A forged length inside can ask for some hundred
+// times as much memory, so it must not be larger.
+constexpr std::size_t MaxKnowledgeBytes = 512U << 10;
+
+/** A message behind the number that tells its kind and version. */
+template <typename Message>
+struct versioned
+{
+    std::uint32_t version = 0;
+    Message message;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, message);
+    }
+};
+
+template <typename Message>
+std::vector<std::byte> encode(std::uint32_t version, const Message &message)
+{
+    // cereal writes through the same function that reads, so it needs an object that may change.
+    versioned<Message> whole{version, message};
+    return encodeBounded(whole);
+}
+
+template <typename Message>
+result<Message> decode(std::uint32_t version, std::span<const std::byte> bytes)
+{
+    auto decoded = decodeBounded<versioned<Message>>(bytes);
+    if (!decoded || decoded->version != version) {
+        return error{error_kind::InvalidInput, "not a message of this version",
+                     "Run the same version on all instances."};
+    }
+    return std::move(decoded->message);
+}
+
+} // namespace
+
+std::vector<std::byte> encodePeerMessage(peer_message message)
+{
+    std::vector<std::byte> bytes = encode(MessageVersion, message);
+    while (bytes.size() > MaxPeerMessageBytes
+           && !(message.loads.empty() && message.others.empty())) {
+        message.loads.resize(message.loads.size() / 2);
+        message.others.resize(message.others.size() / 2);
+        bytes = encode(MessageVersion, message);
+    }
+    return bytes;
+}
+
+result<peer_message> decodePeerMessage(std::span<const std::byte> bytes)
+{
+    if (bytes.size() > MaxPeerMessageBytes) {
+        return error{error_kind::LimitExceeded, "message of a peer is too large",
+                     "Check which process sends to the peers' port."};
+    }
+    return decode<peer_message>(MessageVersion, bytes);
+}
+
+std::string encodeKnowledge(const passed_knowledge &knowledge)
+{
+    const std::vector<std::byte> bytes = encode(KnowledgeVersion, knowledge);
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+result<passed_knowledge> decodeKnowledge(const std::string &bytes)
+{
+    if (bytes.size() > MaxKnowledgeBytes) {
+        return error{error_kind::LimitExceeded, "knowledge of a peer is too large",
+                     "Check which process listens at the peers' port."};
+    }
+    return decode<passed_knowledge>(KnowledgeVersion, std::as_bytes(std::span(bytes)));
+}
+
+} // namespace ebonyway
--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -80,7 +80,7 @@
             }
         }
     }
-    if (m_lostSince && now < m_retryAt) {
+    if (!m_reading || (m_lostSince && now < m_retryAt)) {
         return step;
     }
     for (const store_kind kind : AllStoreKinds) {
@@ -103,6 +103,27 @@
     return step;
 }
 
+void store_follower::setReading(bool reading)
+{
+    if (reading == m_reading) {
+        return;
+    }
+    m_reading = reading;
+    m_renewAll = true;
+    m_events.push_back({reading ? "store_reading_started" : "store_reading_ended",
+                        store_kind::BackendServers,
+                        "",
+                        stateOf(store_kind::BackendServers).revision,
+                        {}});
+    for (const store_kind kind : AllStoreKinds) {
+        follow_state &state = stateOf(kind);
+        const std::uint64_t known = m_knowledge.revisions()[static_cast<std::size_t>(kind)];
+        if (state.at == stage::Watching) {
+            state.revision = std::max(state.revision, known);
+        }
+    }
+}
+
 void store_follower::restartList(follow_state &state)
 {
     state.at = stage::Listing;
@@ -149,6 +170,9 @@
     }
     if (state.at == stage::Watching) {
         state.revision = std::max(state.revision, page.revision);
+        for (const store_object &object : page.objects) {
+            m_knowledge.noteRevision(kind, object.revision);
+        }
         return;
     }
     if (std::exchange(state.firstPage, false)) {
@@ -166,6 +190,7 @@
                         std::to_string(state.listed.size()) + " objects",
                         state.listRevision,
                         {}});
+    m_knowledge.noteRevision(kind, state.listRevision);
     state.at = stage::Watching;
     state.revision = state.listRevision;
     state.listed.clear();
--- a/packages/forwarding/process/store_follower.h
+++ b/packages/forwarding/process/store_follower.h
@@ -42,6 +42,10 @@
     /** Returns the calls that are due. */
     store_step next(time_point now);
 
+    /** Sets whether this instance reads the store; otherwise other instances tell it of changes. */
+    void setReading(bool reading);
+    bool isReading() const { return m_reading; }
+
     void onAnswer(store_kind kind, const store_answer &answer, time_point now);
 
     /** Renews all calls, because this process was paused or cut off and may hold dead connections.
@@ -89,6 +93,7 @@
     time_point m_retryAt;
     time_point m_lastAnswer;
     bool m_renewAll = false;
+    bool m_reading = true;
     std::vector<directory_change> m_changes;
     std::vector<store_event> m_events;
 };
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace ebonyway {
@@ -223,6 +224,78 @@
     return changes;
 }
 
+void directory_builder::noteRevision(store_kind kind, std::uint64_t revision)
+{
+    std::uint64_t &known = m_revisions[static_cast<std::size_t>(kind)];
+    known = std::max(known, revision);
+}
+
+std::vector<directory_change> directory_builder::integrate(const passed_knowledge &passed,
+                                                           time_point now)
+{
+    std::vector<directory_change> changes;
+    const auto merge = [&](store_kind kind, const std::vector<store_object> &objects) {
+        const std::uint64_t revision = passed.revisions[static_cast<std::size_t>(kind)];
+        if (revision <= m_revisions[static_cast<std::size_t>(kind)]) {
+            return;
+        }
+        std::set<std::string> names;
+        for (const store_object &object : objects) {
+            names.insert(object.name);
+            std::ranges::move(apply(kind, object, now), std::back_inserter(changes));
+        }
+        std::ranges::move(retainListed(kind, names, revision, now), std::back_inserter(changes));
+        noteRevision(kind, revision);
+    };
+    std::vector<store_object> servers;
+    for (const passed_object &item : passed.servers) {
+        servers.push_back({item.name, item.revision, false, store_value(item.server), {}});
+    }
+    std::vector<store_object> evacuations;
+    for (const passed_object &item : passed.evacuations) {
+        evacuations.push_back(
+                {item.name, item.revision, false, store_value(evacuation{item.name}), {}});
+    }
+    if (passed.hasDesiredState) {
+        merge(store_kind::DesiredState,
+              {{"", passed.desiredRevision, false, store_value(passed.desired), {}}});
+    }
+    merge(store_kind::BackendServers, servers);
+    merge(store_kind::Evacuations, evacuations);
+    return changes;
+}
+
+passed_knowledge directory_builder::pass(time_point now) const
+{
+    passed_knowledge passed;
+    passed.revisions = m_revisions;
+    if (m_routes) {
+        passed.hasDesiredState = true;
+        passed.desiredRevision = m_routesRevision;
+        passed.desired.version = m_routes->version;
+        passed.desired.idleTimeout = m_routes->idleTimeout;
+        for (const auto &[address, item] : m_routes->routes) {
+            passed.desired.routes.push_back(item);
+        }
+        for (const auto &[name, limits] : m_routes->services) {
+            passed.desired.services.push_back(limits);
+        }
+    }
+    for (const auto &[name, known] : m_servers) {
+        if (known.departedAt) {
+            continue;
+        }
+        passed_object item{name, known.server.revision, known.server.entry};
+        item.server.coldRemaining = std::chrono::ceil<std::chrono::milliseconds>(
+                std::max(duration::zero(), known.server.coldUntil - now));
+        passed.servers.push_back(std::move(item));
+    }
+    for (const auto &[domain, revision] : m_evacuations) {
+        passed.evacuations.push_back({domain, revision, {}});
+    }
+    return passed;
+}
+
 void directory_builder::onStoreRegained(time_point now)
 {
     m_lapseGraceUntil = now + ReRegistrationTime;
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/version/directory.h"
+#include "forwarding/version/passed_knowledge.h"
 
 #include <map>
 #include <optional>
@@ -56,6 +57,16 @@
     /** Returns whether a desired state and a first list of backend servers are known. */
     bool isComplete() const { return m_routes && m_serversListed; }
 
+    /** Takes over what another instance knows, as far as it is newer. Returns what changed. */
+    std::vector<directory_change> integrate(const passed_knowledge &passed, time_point now);
+    /** Writes all current knowledge, for another instance. */
+    passed_knowledge pass(time_point now) const;
+
+    /** Revision up to which all changes of each kind are known. */
+    const known_revisions &revisions() const { return m_revisions; }
+    /** Tells that all changes of the kind up to the revision were applied. */
+    void noteRevision(store_kind kind, std::uint64_t revision);
+
     /** Builds a snapshot of the current knowledge. */
     std::shared_ptr<const directory> snapshot();
 
@@ -87,6 +98,7 @@
     std::map<std::string, std::uint64_t> m_evacuations; ///< Revision by failure domain.
     std::map<std::string, std::uint64_t> m_endedEvacuations;
     std::optional<time_point> m_lapseGraceUntil;
+    known_revisions m_revisions{};
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -43,8 +43,8 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        auto cold = coldRemaining.count();
-        auto started = startedAt.count();
+        auto cold = static_cast<std::uint64_t>(coldRemaining.count());
+        auto started = static_cast<std::uint64_t>(startedAt.count());
         archive(key, service, address, failureDomain, slots, draining, cold, started);
         coldRemaining = std::chrono::milliseconds(cold);
         startedAt = std::chrono::milliseconds(started);
@@ -74,15 +74,38 @@
     bool idempotent = false; ///< Callers may repeat a request after any failure.
     std::chrono::milliseconds goal{0}; ///< Response time that callers expect.
     std::chrono::milliseconds timeout{0}; ///< Response time after which the answer is worthless.
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        auto goalCount = static_cast<std::uint64_t>(goal.count());
+        auto timeoutCount = static_cast<std::uint64_t>(timeout.count());
+        archive(name, address, shares, priority, idempotent, goalCount, timeoutCount);
+        goal = std::chrono::milliseconds(goalCount);
+        timeout = std::chrono::milliseconds(timeoutCount);
+    }
 };
 
 /** What the desired state says of a service. */
 struct service_limits
 {
+    static constexpr double RateScale = 1'000;
+
     std::string name;
     std::uint32_t maxConnections = 0; ///< Per backend server; zero means unlimited.
     std::chrono::milliseconds coldDuration{0};
     double coldRequestsPerSecond = 0; ///< That a cold backend server bears, over all instances.
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        auto cold = static_cast<std::uint64_t>(coldDuration.count());
+        // Rates have no more than three digits after the point.
+        auto rate = static_cast<std::uint64_t>(coldRequestsPerSecond * RateScale);
+        archive(name, maxConnections, cold, rate);
+        coldDuration = std::chrono::milliseconds(cold);
+        coldRequestsPerSecond = static_cast<double>(rate) / RateScale;
+    }
 };
 
 /** The operators' desired state. Versions increase. */
@@ -92,6 +115,14 @@
     std::vector<route> routes;
     std::vector<service_limits> services;
     std::chrono::milliseconds idleTimeout{0}; ///< A flow that is silent for longer has ended.
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        auto idle = static_cast<std::uint64_t>(idleTimeout.count());
+        archive(version, routes, services, idle);
+        idleTimeout = std::chrono::milliseconds(idle);
+    }
 };
 
 /** A failure domain whose backend servers get no new flows. */
--- a/packages/process/control_core.cpp
+++ b/packages/process/control_core.cpp
@@ -1,6 +1,6 @@
 #include "process/control_core.h"
 
-#include "process/bounded_archive.h"
+#include "core/bounded_archive.h"
 #include "process/overloaded.h"
 #include "version/intent.h"
 
--- a/packages/process/gossip_message.h
+++ b/packages/process/gossip_message.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/bounded_archive.h"
 #include "core/ids.h"
 #include "core/ip_address.h"
-#include "process/bounded_archive.h"
 
 #include <array>
 #include <cstdint>
--- a/packages/process/secure_datagram.cpp
+++ b/packages/process/secure_datagram.cpp
@@ -1,6 +1,6 @@
 #include "process/secure_datagram.h"
 
-#include "process/bounded_archive.h"
+#include "core/bounded_archive.h"
 
 #include <algorithm>
 #include <string>
--- a/packages/process/sync_message.h
+++ b/packages/process/sync_message.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "core/bounded_archive.h"
 #include "core/ids.h"
 #include "core/result.h"
-#include "process/bounded_archive.h"
 #include "process/message_authenticator.h"
 #include "version/intent.h"
 
--- /dev/null
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -0,0 +1,201 @@
+#include "core/seeded_random.h"
+#include "forwarding/directory_samples.h"
+#include "forwarding/process/peer_directory.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+peer_entry instance(const std::string &name, const std::string &domain, std::uint32_t host)
+{
+    return {name, domain, samples::address(0x0a010000 + host, 7720), 1'000, 0, true, false};
+}
+
+/** Three instances in domain "a" and one in "b" that exchange heartbeats in virtual time. */
+struct peers_fixture
+{
+    std::map<std::string, peer_directory> instances;
+    std::map<std::string, known_revisions> revisions;
+    std::set<std::string> down;
+    time_point now{100s};
+
+    peers_fixture()
+    {
+        std::uint32_t host = 0;
+        for (const auto &[name, domain] : std::vector<std::pair<std::string, std::string>>{
+                     {"one", "a"}, {"two", "a"}, {"three", "a"}, {"four", "b"}}) {
+            ++host;
+            peer_directory made(instance(name, domain, host), host);
+            made.setSeeds({samples::address(0x0a010001, 7720)});
+            instances.emplace(name, std::move(made));
+            revisions[name] = {1, 1, 1};
+        }
+        advance(2s);
+    }
+
+    void deliver(const peer_message &message, const endpoint &to)
+    {
+        for (auto &[name, peer] : instances) {
+            const std::uint32_t host = to.address.toV4() - 0x0a010000;
+            if (addressOf(name) == host && !down.contains(name)) {
+                peer.onMessage(message, now);
+            }
+        }
+    }
+
+    static std::uint32_t addressOf(const std::string &name)
+    {
+        static const std::map<std::string, std::uint32_t> hosts{
+                {"one", 1}, {"two", 2}, {"three", 3}, {"four", 4}};
+        return hosts.at(name);
+    }
+
+    void advance(duration length)
+    {
+        for (const time_point end = now + length; now < end; now += 250ms) {
+            for (auto &[name, peer] : instances) {
+                if (down.contains(name)) {
+                    continue;
+                }
+                const auto bytes = encodePeerMessage(peer.heartbeat(revisions[name], {}));
+                const auto message = decodePeerMessage(bytes);
+                REQUIRE(isOk(message));
+                for (const endpoint &to : peer.targets(false, now)) {
+                    deliver(valueOf(message), to);
+                }
+            }
+        }
+    }
+
+    std::vector<std::string> readers(const std::vector<std::string> &names)
+    {
+        std::vector<std::string> found;
+        for (const std::string &name : names) {
+            if (!down.contains(name) && instances.at(name).isReader(now)) {
+                found.push_back(name);
+            }
+        }
+        return found;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(peers_fixture, "instances, one seed, hear of all others")
+{
+    for (const auto &[name, peer] : instances) {
+        CHECK(peer.liveCount(now) == 4);
+    }
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "domain, all live, has one reader")
+{
+    CHECK(readers({"one", "two", "three"}).size() == 1);
+    CHECK(readers({"four"}).size() == 1);
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "reader, killed, is replaced within a second")
+{
+    const std::string reader = readers({"one", "two", "three"}).front();
+    down.insert(reader);
+    advance(1s);
+    CHECK(readers({"one", "two", "three"}).size() == 1);
+}
+
+TEST_CASE_FIXTURE(peers_fixture,
+                  "reader, turned away by the store, is replaced at the next heartbeat")
+{
+    const std::string reader = readers({"one", "two", "three"}).front();
+    instances.at(reader).setStoreAnswers(false);
+    advance(500ms);
+    const auto next = readers({"one", "two", "three"});
+    REQUIRE(next.size() == 1);
+    CHECK(next.front() != reader);
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "instance without peers, always, reads the store itself")
+{
+    down = {"one", "two", "three"};
+    down.erase("two");
+    advance(2s);
+    CHECK(readers({"two"}).size() == 1);
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "instance that knows less, asks one of its own domain first")
+{
+    revisions["four"][1] = 9;
+    revisions["three"][1] = 9;
+    advance(500ms);
+    const auto source = instances.at("one").betterInformed(revisions["one"], now);
+    REQUIRE(source);
+    CHECK(source->address.toV4() == 0x0a010003);
+    CHECK_FALSE(instances.at("three").betterInformed(revisions["three"], now));
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "dead instance that knew more, later, is not asked")
+{
+    revisions["four"][1] = 9;
+    advance(500ms);
+    down.insert("four");
+    advance(1500ms);
+    CHECK_FALSE(instances.at("one").betterInformed(revisions["one"], now));
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "loads of other instances, live, are added up")
+{
+    peer_message message{instance("two", "a", 2), {}, {}, {{server_key{7}, 2, 3}}};
+    message.sender.heartbeat = 1'000;
+    instances.at("one").onMessage(message, now);
+    message.sender = instance("four", "b", 4);
+    message.sender.heartbeat = 1'000;
+    instances.at("one").onMessage(message, now);
+    const auto loads = instances.at("one").peerLoads(now);
+    REQUIRE(loads.size() == 1);
+    CHECK(loads.front().busy == 4);
+    CHECK(loads.front().open == 6);
+    CHECK(instances.at("one").peerLoads(now + 2s).empty());
+}
+
+TEST_CASE("peer message, too many loads, still fits into one datagram")
+{
+    peer_message message{instance("one", "a", 1), {}, {}, {}};
+    for (std::uint64_t key = 1; key < 2'000; ++key) {
+        message.loads.push_back({server_key{key * 0x123456789}, 100, 200});
+    }
+    CHECK(encodePeerMessage(message).size() <= MaxPeerMessageBytes);
+}
+
+TEST_CASE("peer decoders, random and mutated bytes, refuse or return whole messages")
+{
+    directory_builder knowledge{{}};
+    const time_point now{100s};
+    knowledge.apply(store_kind::DesiredState, samples::object(samples::desiredState(3), 4), now);
+    knowledge.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 5), now);
+    const std::string good = encodeKnowledge(knowledge.pass(now));
+    REQUIRE(isOk(decodeKnowledge(good)));
+    const auto heartbeat = encodePeerMessage({instance("one", "a", 1), {}, {}, {}});
+    seeded_random random(7);
+    for (int i = 0; i < 50'000; ++i) {
+        std::string text = good;
+        std::vector<std::byte> bytes = heartbeat;
+        for (int change = 0; change < 3; ++change) {
+            text[random.below(text.size())] = static_cast<char>(random.below(256));
+            bytes[random.below(bytes.size())] = static_cast<std::byte>(random.below(256));
+        }
+        if (random.below(3) == 0) {
+            text.resize(random.below(text.size()));
+            bytes.resize(random.below(bytes.size()));
+        }
+        decodeKnowledge(text);
+        decodePeerMessage(bytes);
+    }
+}
+
+} // namespace ebonyway
--- a/tests/forwarding/process/store_follower_test.cpp
+++ b/tests/forwarding/process/store_follower_test.cpp
@@ -167,6 +167,21 @@
     CHECK(step.calls.size() == 3);
 }
 
+TEST_CASE_FIXTURE(follower_fixture,
+                  "instance told by others, reading ends, and starts from what it learned")
+{
+    listAll();
+    subject.setReading(false);
+    advance();
+    CHECK(step.cancels.size() == 3);
+    CHECK(step.calls.empty());
+    knowledge.noteRevision(store_kind::BackendServers, 44);
+    subject.setReading(true);
+    advance();
+    REQUIRE(callOf(store_kind::BackendServers));
+    CHECK(callOf(store_kind::BackendServers)->revision == 44);
+}
+
 TEST_CASE("pause detector, suspended machine, reports the time that the monotonic clock missed")
 {
     pause_detector subject;
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -165,4 +165,56 @@
     CHECK(known->byToken(tokenOf(server_key{high}))->entry.key.value == low);
 }
 
+TEST_CASE_FIXTURE(directory_fixture, "knowledge of a peer, newer, adds, changes and removes")
+{
+    directory_builder peer{{}};
+    peer.apply(store_kind::DesiredState, samples::object(samples::desiredState(6), 40), now);
+    backend_server_entry draining = samples::entry(2, "b");
+    draining.draining = true;
+    peer.apply(store_kind::BackendServers, samples::object(draining, 41), now);
+    peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 42), now);
+    peer.apply(store_kind::Evacuations, {"a", 43, false, {}, {}}, now);
+    for (const store_kind kind : AllStoreKinds) {
+        peer.noteRevision(kind, 45);
+    }
+    subject.integrate(peer.pass(now), now);
+    CHECK(subject.desiredVersion() == 6);
+    CHECK(standing(1) == server_standing::Departed);
+    CHECK(standing(2) == server_standing::Draining);
+    CHECK(standing(3) == server_standing::Usable);
+    CHECK(subject.revisions() == known_revisions{45, 45, 45});
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "knowledge of a peer, older, changes nothing")
+{
+    directory_builder peer{{}};
+    peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 9), now);
+    peer.noteRevision(store_kind::BackendServers, 9);
+    subject.noteRevision(store_kind::BackendServers, 12);
+    CHECK(subject.integrate(peer.pass(now), now).empty());
+    CHECK(standing(1) == server_standing::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "cold server, passed on later, is cold for the rest only")
+{
+    backend_server_entry cold = samples::entry(1, "a");
+    cold.coldRemaining = 2'000ms;
+    subject.apply(store_kind::BackendServers, samples::object(cold, 20), now);
+    const passed_knowledge passed = subject.pass(now + 1'500ms);
+    REQUIRE(passed.servers.size() == 2);
+    CHECK(passed.servers.front().server.coldRemaining == 500ms);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "starting instance, store unreachable, is complete by a peer alone")
+{
+    for (const store_kind kind : AllStoreKinds) {
+        subject.noteRevision(kind, 12);
+    }
+    directory_builder starting{{}};
+    starting.integrate(subject.pass(now), now);
+    CHECK(starting.isComplete());
+    CHECK(starting.snapshot()->candidates("desk").size() == 2);
+}
+
 } // namespace ebonyway
