Leave the rotation while no backend server can be reached

Change: domains whose instances all fall silent count as cut off; their servers are doubtful for new flows, and an instance with no other usable server answers not ready until it hears of one.

Ruled out: deciding by unanswered offers alone, since nothing shows the return once the packets stay away.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -69,6 +69,11 @@
     }
 }
 
+void forwarder::setSilentDomains(std::set<std::string> domains)
+{
+    m_placement.setSilentDomains(std::move(domains));
+}
+
 std::vector<server_load> forwarder::loads() const
 {
     std::vector<server_load> loads;
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -114,6 +115,10 @@
     /** Sets what all other instances together send to each backend server. */
     void setPeerLoads(const std::vector<server_load> &loads);
 
+    /** Sets the failure domains whose instances are all silent; others are preferred for new flows.
+     */
+    void setSilentDomains(std::set<std::string> domains);
+
     std::vector<server_load> loads() const;
     bool isOpening(const flow_id &flow) const;
     std::size_t flowCount() const { return m_flows.size(); }
--- a/packages/forwarding/connection/placement.cpp
+++ b/packages/forwarding/connection/placement.cpp
@@ -36,6 +36,11 @@
     , m_random(seed)
 { }
 
+void placement::setSilentDomains(std::set<std::string> domains)
+{
+    m_silentDomains = std::move(domains);
+}
+
 double placement::loadOf(const directory_server &server, const server_condition &state) const
 {
     const double busy = static_cast<double>(state.busy + state.opening + state.peersBusy);
@@ -78,7 +83,8 @@
         }
         if (trust == server_trust::SetAside) {
             tier = placement_tier::SetAside;
-        } else if (trust != server_trust::Answering) {
+        } else if (trust != server_trust::Answering
+                   || m_silentDomains.contains(server.entry.failureDomain)) {
             tier = placement_tier::Doubtful;
         }
         ++candidates;
--- a/packages/forwarding/connection/placement.h
+++ b/packages/forwarding/connection/placement.h
@@ -7,6 +7,7 @@
 #include "forwarding/version/directory.h"
 
 #include <optional>
+#include <set>
 #include <string>
 
 namespace ebonyway {
@@ -41,6 +42,9 @@
     /** `failureDomain` is this instance's own. */
     placement(std::string failureDomain, std::uint64_t seed);
 
+    /** Sets the failure domains that are probably cut off; their servers are doubtful. */
+    void setSilentDomains(std::set<std::string> domains);
+
     /**
      * Chooses a backend server of the service that the flow was not offered to before (`previous`
      * may be nullptr). Returns nothing if there is none.
@@ -57,6 +61,7 @@
     double loadOf(const directory_server &server, const server_condition &state) const;
 
     std::string m_failureDomain;
+    std::set<std::string> m_silentDomains;
     seeded_random m_random;
 };
 
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -227,9 +227,9 @@
 
 const server_condition &server_evidence::condition(server_key server) const
 {
-    static const server_condition unknown;
+    static const server_condition Unknown;
     const auto found = m_conditions.find(server);
-    return found == m_conditions.end() ? unknown : found->second;
+    return found == m_conditions.end() ? Unknown : found->second;
 }
 
 void server_evidence::forget(server_key server)
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -145,9 +145,9 @@
 
 void forwarding_daemon::tickPeers(time_point now)
 {
-    m_peers.setStoreAnswers(m_published && m_follower.storeAnswers());
+    m_peers.setStoreAnswers(m_known && m_follower.storeAnswers());
     // Until it has read the store once, an instance does not leave the reading to others.
-    m_follower.setReading(!m_published || m_peers.isReader(now));
+    m_follower.setReading(!m_known || m_peers.isReader(now));
     if (m_peerClient) {
         m_peerClient->expire(now);
     }
@@ -157,7 +157,29 @@
     }
     m_nextHeartbeat = now + HeartbeatInterval;
     sendHeartbeat(false, now);
-    m_traffic.setPeerLoads(m_peers.peerLoads(now), m_peers.liveCount(now));
+    checkReachability(now);
+    m_traffic.setPeerView({m_peers.peerLoads(now), m_peers.liveCount(now), m_silentDomains});
+}
+
+void forwarding_daemon::checkReachability(time_point now)
+{
+    std::set<std::string> silent = m_peers.silentDomains(now);
+    if (silent != m_silentDomains) {
+        m_silentDomains = std::move(silent);
+        std::string names;
+        for (const std::string &domain : m_silentDomains) {
+            names += (names.empty() ? "" : ",") + domain;
+        }
+        m_log.write({log_level::Warn, "silent_domains_changed", {{"domains", names}}});
+    }
+    // Without a silent domain there may be no server at all; other instances could not help then.
+    const bool serves = !m_known || m_silentDomains.empty() || canServe(*m_known, m_silentDomains);
+    if (serves != m_canServe) {
+        m_canServe = serves;
+        m_log.write({log_level::Warn,
+                     serves ? "servers_in_reach" : "no_server_in_reach",
+                     {{"directory", m_known->serial()}}});
+    }
 }
 
 void forwarding_daemon::sendHeartbeat(bool afterChange, time_point now)
@@ -190,7 +212,7 @@
     }
     const auto source = m_peers.betterInformed(m_knowledge.revisions(), now);
     // A reader waits a moment for the store to tell it the same.
-    if (!source || (m_follower.isReading() && m_follower.storeAnswers() && m_published)) {
+    if (!source || (m_follower.isReading() && m_follower.storeAnswers() && m_known)) {
         return;
     }
     if (!m_peerClient || m_peerClientAddress != *source) {
@@ -267,7 +289,7 @@
                       {"revision", change.revision},
                       {"detail", change.detail}}});
     }
-    if (changes.empty() && (m_published || !m_knowledge.isComplete())) {
+    if (changes.empty() && (m_known || !m_knowledge.isComplete())) {
         return;
     }
     publishKnowledge();
@@ -279,15 +301,17 @@
     if (!m_knowledge.isComplete()) {
         return;
     }
-    const auto known = m_knowledge.snapshot();
-    m_traffic.adopt(known);
-    if (!std::exchange(m_published, true)) {
-        const time_point now = std::chrono::steady_clock::now();
+    const bool isFirst = !m_known;
+    m_known = m_knowledge.snapshot();
+    m_traffic.adopt(m_known);
+    const time_point now = std::chrono::steady_clock::now();
+    checkReachability(now);
+    if (isFirst) {
         m_log.write({log_level::Info,
                      "ready",
                      {{"after_ms", millis(now - m_startedAt)},
-                      {"desired_version", known->routes().version},
-                      {"backend_servers", std::uint64_t{known->servers().size()}}}});
+                      {"desired_version", m_known->routes().version},
+                      {"backend_servers", std::uint64_t{m_known->servers().size()}}}});
     }
 }
 
@@ -342,7 +366,7 @@
 
 bool forwarding_daemon::isReady() const
 {
-    return m_published && !m_stop.isRequested();
+    return m_known && m_canServe && !m_stop.isRequested();
 }
 
 http_page forwarding_daemon::readinessPage(const std::string &path) const
--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,7 @@
     http_page readinessPage(const std::string &path) const;
     http_page metricsPage(const std::string &path) const;
     bool isReady() const;
+    void checkReachability(time_point now);
 
     const frame_adapter &m_frame;
     forwarding_settings m_options;
@@ -90,7 +92,9 @@
 
     std::atomic<bool> m_stopRequested = false;
     std::atomic<bool> m_reloadRequested = false;
-    bool m_published = false;
+    std::shared_ptr<const directory> m_known; ///< What the traffic thread was given last.
+    std::set<std::string> m_silentDomains;
+    bool m_canServe = true;
     time_point m_startedAt;
     time_point m_nextSlowTick;
 };
--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -50,11 +50,12 @@
     m_thread.post([this, known = std::move(known)] { m_forwarder.adopt(known); });
 }
 
-void traffic_loop::setPeerLoads(std::vector<server_load> loads, std::size_t instances)
+void traffic_loop::setPeerView(peer_view view)
 {
-    m_thread.post([this, loads = std::move(loads), instances] {
-        m_forwarder.setPeerLoads(loads);
-        m_forwarder.setInstances(instances);
+    m_thread.post([this, view = std::move(view)] {
+        m_forwarder.setPeerLoads(view.loads);
+        m_forwarder.setInstances(view.instances);
+        m_forwarder.setSilentDomains(view.silentDomains);
     });
 }
 
--- a/packages/forwarding/edge/traffic_loop.h
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -10,11 +10,21 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace ebonyway {
 
+/** What the control thread has learned from other instances. */
+struct peer_view
+{
+    std::vector<server_load> loads; ///< Of all others together.
+    std::size_t instances = 1; ///< That share the rates of cold servers.
+    std::set<std::string> silentDomains;
+};
+
 /** The traffic thread: receives callers' packets and carries out the forwarder's decisions. */
 class traffic_loop : private datagram_receiver
 {
@@ -31,7 +41,7 @@
 
     /** These may be called from any thread. */
     void adopt(std::shared_ptr<const directory> known);
-    void setPeerLoads(std::vector<server_load> loads, std::size_t instances);
+    void setPeerView(peer_view view);
     time_point lastPacket() const { return time_point(duration(m_lastPacket.load())); }
     const forwarding_counters &counters() const { return m_counters; }
 
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -175,6 +175,22 @@
     return best ? std::optional(best->entry.address) : std::nullopt;
 }
 
+std::set<std::string> peer_directory::silentDomains(time_point now) const
+{
+    std::set<std::string> silent;
+    std::set<std::string> heard;
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.heard || peer.entry.failureDomain == m_self.failureDomain) {
+            continue;
+        }
+        (isLive(peer, now) ? heard : silent).insert(peer.entry.failureDomain);
+    }
+    for (const std::string &domain : heard) {
+        silent.erase(domain);
+    }
+    return silent;
+}
+
 std::size_t peer_directory::liveCount(time_point now) const
 {
     std::size_t count = 1;
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,12 @@
     /** Returns the address of a live instance that knows a newer object of some kind. */
     std::optional<endpoint> betterInformed(const known_revisions &own, time_point now) const;
 
+    /**
+     * Failure domains whose instances are all silent although some were heard in the last minute:
+     * the domain is cut off from here, or has no instance left.
+     */
+    std::set<std::string> silentDomains(time_point now) const;
+
     /** Live instances, this one included. */
     std::size_t liveCount(time_point now) const;
     /** Sum of what the other live instances send to each backend server. */
--- a/packages/forwarding/version/directory.cpp
+++ b/packages/forwarding/version/directory.cpp
@@ -30,6 +30,17 @@
     return flow_token{digest == 0 ? 1 : digest};
 }
 
+bool canServe(const directory &known, const std::set<std::string> &silentDomains)
+{
+    for (const directory_server &server : known.servers()) {
+        if (!server.acceptsNewFlows() || silentDomains.contains(server.entry.failureDomain)) {
+            continue;
+        }
+        return true;
+    }
+    return false;
+}
+
 directory::directory(std::uint64_t serial, std::shared_ptr<const route_table> routes,
                      std::vector<directory_server> servers)
     : m_serial(serial)
@@ -55,9 +66,9 @@
 
 const std::vector<std::size_t> &directory::candidates(const std::string &service) const
 {
-    static const std::vector<std::size_t> none;
+    static const std::vector<std::size_t> None;
     const auto found = m_candidates.find(service);
-    return found == m_candidates.end() ? none : found->second;
+    return found == m_candidates.end() ? None : found->second;
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/version/directory.h
+++ b/packages/forwarding/version/directory.h
@@ -71,6 +71,12 @@
     std::unordered_map<std::string, std::vector<std::size_t>> m_candidates;
 };
 
+/**
+ * Returns whether some service with a route has a backend server for new flows outside the given
+ * failure domains.
+ */
+bool canServe(const directory &known, const std::set<std::string> &silentDomains);
+
 /** Returns the token of a backend server. It is never zero. */
 flow_token tokenOf(server_key key);
 
--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -21,7 +21,7 @@
 
 const http_parser_settings &http_client::parserSettings()
 {
-    static const http_parser_settings settings = [] {
+    static const http_parser_settings Settings = [] {
         http_parser_settings callbacks;
         http_parser_settings_init(&callbacks);
         callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
@@ -34,7 +34,7 @@
         };
         return callbacks;
     }();
-    return settings;
+    return Settings;
 }
 
 void http_client::startParser()
--- a/packages/io/http_listener.cpp
+++ b/packages/io/http_listener.cpp
@@ -78,7 +78,7 @@
         }
         const connection_id id = m_nextId++;
         auto &added = m_connections[id];
-        added = std::make_unique<connection>(*this, id);
+        added = std::make_unique<connection>(*this);
         if (!isOk(added->accept(handle))) {
             m_connections.erase(id);
         }
@@ -94,7 +94,7 @@
 
 const http_parser_settings &http_listener::parserSettings()
 {
-    static const http_parser_settings settings = [] {
+    static const http_parser_settings Settings = [] {
         http_parser_settings callbacks;
         http_parser_settings_init(&callbacks);
         callbacks.on_message_begin = [](http_parser *parser) {
@@ -112,12 +112,11 @@
         };
         return callbacks;
     }();
-    return settings;
+    return Settings;
 }
 
-http_listener::connection::connection(http_listener &owner, connection_id id)
+http_listener::connection::connection(http_listener &owner)
     : m_owner(owner)
-    , m_id(id)
     , m_stream(owner.m_loop, *this)
 {
     http_parser_init(&m_parser, HTTP_REQUEST);
--- a/packages/io/http_listener.h
+++ b/packages/io/http_listener.h
@@ -46,7 +46,7 @@
     class connection : private stream_listener
     {
     public:
-        connection(http_listener &owner, connection_id id);
+        explicit connection(http_listener &owner);
 
         status accept(ACE_HANDLE handle) { return m_stream.accept(handle); }
 
@@ -57,7 +57,6 @@
         void answer();
 
         http_listener &m_owner;
-        connection_id m_id;
         tcp_stream m_stream;
         http_parser m_parser{};
         std::string m_path;
--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -110,14 +110,14 @@
 
     std::chrono::milliseconds millisOr(const char *name, std::uint64_t fallback)
     {
-        constexpr std::uint64_t most = 1'000ULL * 86'400 * 365 * 200;
-        return std::chrono::milliseconds(std::min(numberOr(name, fallback), most));
+        constexpr std::uint64_t Most = 1'000ULL * 86'400 * 365 * 200;
+        return std::chrono::milliseconds(std::min(numberOr(name, fallback), Most));
     }
 
     const Json::Value &find(const char *name) const
     {
-        static const Json::Value none;
-        return m_object.isObject() && m_object.isMember(name) ? m_object[name] : none;
+        static const Json::Value None;
+        return m_object.isObject() && m_object.isMember(name) ? m_object[name] : None;
     }
 
     void fail(const char *name, const char *expected)
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -393,6 +393,16 @@
                   refusal_reason::Overloaded));
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture, "other domain is cut off, own servers busy, gets no new flow")
+{
+    subject.setSilentDomains({"b"});
+    for (int i = 0; i < 60; ++i) {
+        const auto [first, token] = openFlow();
+        subject.decide(later(first, token, 1, 100, 1), now);
+        CHECK(observer.placements.back().server.value <= 3);
+    }
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture, "packet that only a server sends, from a caller, is dropped")
 {
     flow_packet forged = newFlow();
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -52,9 +52,9 @@
 
     static std::uint32_t addressOf(const std::string &name)
     {
-        static const std::map<std::string, std::uint32_t> hosts{
+        static const std::map<std::string, std::uint32_t> Hosts{
                 {"one", 1}, {"two", 2}, {"three", 3}, {"four", 4}};
-        return hosts.at(name);
+        return Hosts.at(name);
     }
 
     void advance(duration length)
@@ -148,6 +148,25 @@
     CHECK_FALSE(instances.at("one").betterInformed(revisions["one"], now));
 }
 
+TEST_CASE_FIXTURE(peers_fixture, "domain whose instances all fall silent, later, is told apart")
+{
+    CHECK(instances.at("one").silentDomains(now).empty());
+    down.insert("four");
+    advance(1500ms);
+    CHECK(instances.at("one").silentDomains(now) == std::set<std::string>{"b"});
+    down.erase("four");
+    advance(500ms);
+    CHECK(instances.at("one").silentDomains(now).empty());
+}
+
+TEST_CASE_FIXTURE(peers_fixture,
+                  "one instance of several falls silent, its domain, does not count as silent")
+{
+    down.insert("two");
+    advance(1500ms);
+    CHECK(instances.at("four").silentDomains(now).empty());
+}
+
 TEST_CASE_FIXTURE(peers_fixture, "loads of other instances, live, are added up")
 {
     peer_message message{instance("two", "a", 2), {}, {}, {{server_key{7}, 2, 3}}};
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -217,4 +217,15 @@
     CHECK(starting.snapshot()->candidates("desk").size() == 2);
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "evacuated own domain, others cut off, leaves no server in reach")
+{
+    // In such a minute callers waited at instances that could reach nobody, while instances of
+    // other domains could have served them.
+    CHECK(canServe(*subject.snapshot(), {"b"}));
+    subject.apply(store_kind::Evacuations, {"a", 20, false, {}, {}}, now);
+    CHECK(canServe(*subject.snapshot(), {}));
+    CHECK_FALSE(canServe(*subject.snapshot(), {"b"}));
+}
+
 } // namespace ebonyway
