Let a second instance confirm that a server is silent

After a stall an instance also took queued answers for missing ones.

Change: flows are reset only if another instance finds the server silent too, or its whole domain is silent. A repeat counts from when the data was forwarded. Offers are judged only after a stalled instance had time to read answers. An instance that sees no progress at all gives no verdict. Heartbeats reach every domain in sparse deployments.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -23,6 +23,9 @@
 // are one sign of silence.
 constexpr duration RepeatRound = 150ms;
 
+// Offers are checked every 20 ms; a longer gap shows that the instance was short of processor time.
+constexpr duration LongestCheckGap = 50ms;
+
 /** Compares sequence numbers, which wrap around. */
 bool isAfter(std::uint32_t left, std::uint32_t right)
 {
@@ -60,28 +63,30 @@
 void forwarder::setPeerLoads(const std::vector<server_load> &loads)
 {
     for (const auto &[key, state] : m_evidence.all()) {
-        if (state.peersBusy + state.peersOpen > 0) {
-            m_evidence.setPeerLoad(key, 0, 0);
+        if (state.peersBusy + state.peersOpen + state.peersSuspicious > 0) {
+            m_evidence.setPeerLoad(key, 0, 0, 0);
         }
     }
     for (const server_load &load : loads) {
-        m_evidence.setPeerLoad(load.server, load.busy, load.open);
+        m_evidence.setPeerLoad(load.server, load.busy, load.open, load.suspicious);
     }
 }
 
 void forwarder::setSilentDomains(std::set<std::string> domains)
 {
+    m_evidence.setSilentDomains(domains);
     m_placement.setSilentDomains(std::move(domains));
 }
 
-std::vector<server_load> forwarder::loads() const
+std::vector<server_load> forwarder::loads(time_point now) const
 {
     std::vector<server_load> loads;
     for (const auto &[key, state] : m_evidence.all()) {
         if (state.open + state.opening == 0) {
             continue;
         }
-        loads.push_back({key, state.busy + state.opening, state.open + state.opening});
+        loads.push_back({key, state.busy + state.opening, state.open + state.opening,
+                         m_evidence.looksSilent(key, now) ? 1U : 0U});
     }
     return loads;
 }
@@ -120,8 +125,9 @@
         }
     }
     if (record && record->state == flow_record::phase::Opening && record->offerCount > 0) {
-        if (!isCopy) {
-            // The network doubled the packet.
+        if (!isCopy || now - record->offeredAt < AnswerTime) {
+            // The network doubled the packet, or this instance was stalled and has only just
+            // forwarded the one before.
             const directory_server *server = m_known->byToken(tokenOf(record->server));
             if (server) {
                 return forward_packet{server->entry.key, server->entry.address, server->token};
@@ -190,7 +196,12 @@
 std::vector<further_offer> forwarder::offerAgain(time_point now)
 {
     std::vector<further_offer> offers;
-    while (!m_offers.empty() && now - m_offers.front().first > AnswerTime) {
+    if (std::exchange(m_lastOfferCheck, now) + LongestCheckGap < now) {
+        // This instance stood still; answers may wait in its receive queue.
+        m_judgeOffersAfter = now + AnswerTime;
+    }
+    while (now >= m_judgeOffersAfter && !m_offers.empty()
+           && now - m_offers.front().first > AnswerTime) {
         const flow_id flow = m_offers.front().second;
         m_offers.pop_front();
         flow_record *record = m_flows.find(flow);
@@ -347,6 +358,9 @@
         return;
     }
     record.nextSequence = end;
+    // A repeat counts from when the data was forwarded, not from when the caller sent it: after a
+    // stall of this instance both arrive at once.
+    record.lastRepeat = now;
     if (isAfter(end, record.deliveredSequence + CallerWindowBytes)) {
         // The caller could send this only because the server acknowledged earlier data.
         record.deliveredSequence = end - CallerWindowBytes;
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -64,11 +64,12 @@
     server_key server;
     std::uint32_t busy = 0;
     std::uint32_t open = 0;
+    std::uint32_t suspicious = 0; ///< Instances for which the server looks silent.
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, busy, open);
+        archive(server, busy, open, suspicious);
     }
 };
 
@@ -119,7 +120,7 @@
      */
     void setSilentDomains(std::set<std::string> domains);
 
-    std::vector<server_load> loads() const;
+    std::vector<server_load> loads(time_point now) const;
     bool isOpening(const flow_id &flow) const;
     std::size_t flowCount() const { return m_flows.size(); }
     const server_evidence &evidence() const { return m_evidence; }
@@ -149,6 +150,8 @@
     flow_table m_flows;
     server_evidence m_evidence;
     cold_start_budget m_coldStarts;
+    time_point m_lastOfferCheck;
+    time_point m_judgeOffersAfter;
     std::deque<std::pair<time_point, flow_id>> m_offers; ///< First offers, oldest first.
 };
 
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -31,6 +31,9 @@
 // 200 ms, 400 ms, 800 ms and then every 1.6 s.
 constexpr duration SuspicionLifetime = 2s;
 
+// Without progress of any server for this long, an instance cannot tell who is silent.
+constexpr duration OwnSilence = 300ms;
+
 void addTo(std::uint32_t &count, int change)
 {
     count = static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::int64_t{count} + change));
@@ -85,6 +88,7 @@
 {
     server_condition &state = m_conditions[server];
     state.lastAnswer = now;
+    m_lastProgress = now;
     state.silences = 0;
     state.suspicions = 0;
     const auto domain = m_domainOf.find(server);
@@ -117,7 +121,7 @@
 void server_evidence::onRepeat(server_key server, time_point now)
 {
     suspect(server, now);
-    if (isSilent(server, now)) {
+    if (looksSilent(server, now)) {
         setAside(server, m_conditions[server], now);
     }
 }
@@ -174,9 +178,13 @@
            && now - whole.lastSuspicion <= SuspicionLifetime;
 }
 
-bool server_evidence::isSilent(server_key server, time_point now) const
+bool server_evidence::looksSilent(server_key server, time_point now) const
 {
     const server_condition &state = condition(server);
+    if (now - m_lastProgress > OwnSilence) {
+        // No server answers at all, so this instance is the one that is cut off or overloaded.
+        return false;
+    }
     if (now - state.lastSuspicion > SuspicionLifetime
         || now - state.firstSuspicion < ShortestSilence) {
         return false;
@@ -204,11 +212,28 @@
     addTo(m_conditions[server].busy, change);
 }
 
-void server_evidence::setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open)
+void server_evidence::setSilentDomains(std::set<std::string> domains)
+{
+    m_silentDomains = std::move(domains);
+}
+
+bool server_evidence::isSilent(server_key server, time_point now) const
+{
+    if (!looksSilent(server, now)) {
+        return false;
+    }
+    const auto domain = m_domainOf.find(server);
+    return condition(server).peersSuspicious > 0
+           || (domain != m_domainOf.end() && m_silentDomains.contains(domain->second));
+}
+
+void server_evidence::setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open,
+                                  std::uint32_t suspicious)
 {
     server_condition &state = m_conditions[server];
     state.peersBusy = busy;
     state.peersOpen = open;
+    state.peersSuspicious = suspicious;
 }
 
 server_trust server_evidence::trustIn(server_key server, time_point now) const
@@ -219,7 +244,7 @@
         return mayTry ? server_trust::OnTrial : server_trust::SetAside;
     }
     const bool overdue = state.oldestOffer && now - *state.oldestOffer > AnswerTime;
-    if (overdue || isSilent(server, now) || isDomainSilent(server, now)) {
+    if (overdue || looksSilent(server, now) || isDomainSilent(server, now)) {
         return server_trust::Overdue;
     }
     return server_trust::Answering;
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -6,6 +6,7 @@
 #include "forwarding/version/directory.h"
 
 #include <chrono>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,12 +64,21 @@
 
     void addOpen(server_key server, int change);
     void addBusy(server_key server, int change);
-    void setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open);
+    /** Sets what the other instances send to the server, and for how many it looks silent. */
+    void setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open,
+                     std::uint32_t suspicious);
+    /** Sets the failure domains whose instances are all silent. */
+    void setSilentDomains(std::set<std::string> domains);
 
     server_trust trustIn(server_key server, time_point now) const;
     /**
-     * Returns whether the server has stopped answering all its flows that this instance sees, alone
-     * or with its failure domain. It has crashed, or it cannot be reached from here.
+     * Returns whether the server seems to answer none of the flows that this instance sees. A full
+     * link of this instance can look the same.
+     */
+    bool looksSilent(server_key server, time_point now) const;
+    /**
+     * Returns whether the server has crashed or cannot be reached from here: it looks silent, and
+     * so it does to another instance, or its whole failure domain is silent.
      */
     bool isSilent(server_key server, time_point now) const;
     const server_condition &condition(server_key server) const;
@@ -89,6 +99,8 @@
 
     std::unordered_map<server_key, std::string> m_domainOf;
     std::unordered_map<std::string, domain_condition> m_domains;
+    std::set<std::string> m_silentDomains;
+    time_point m_lastProgress; ///< Of any server.
     std::vector<trust_change> m_changes;
 };
 
--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -126,7 +126,7 @@
     std::erase_if(m_openingPackets,
                   [this](const auto &item) { return !m_forwarder.isOpening(item.first); });
     m_counters.flows = m_forwarder.flowCount();
-    m_onLoads(m_forwarder.loads());
+    m_onLoads(m_forwarder.loads(now));
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -22,7 +22,11 @@
 // once. Above it, heartbeats go to the own domain's reader and to a few others, so the messages an
 // instance handles do not grow with the deployment.
 constexpr std::size_t FullMeshInstances = 16;
-constexpr std::size_t RandomTargets = 3;
+constexpr std::size_t RandomTargets = 2; // in each failure domain
+
+// In that case an instance hears of every domain about eight times a second on average, so that
+// two seconds of silence do not come about by chance.
+constexpr duration SparseLiveTime = 2s;
 
 // Others told in one heartbeat; with 60 bytes each they leave room for loads.
 constexpr std::size_t OthersTold = 6;
@@ -110,19 +114,21 @@
     std::vector<endpoint> targets;
     const bool tellsDomain = afterChange || isReader(now);
     const bool fullMesh = m_peers.size() < FullMeshInstances;
-    std::vector<endpoint> others;
+    std::map<std::string, std::vector<endpoint>> others;
     for (const auto &[name, peer] : m_peers) {
         const bool sameDomain = peer.entry.failureDomain == m_self.failureDomain;
         if (fullMesh || (sameDomain && tellsDomain)) {
             targets.push_back(peer.entry.address);
             continue;
         }
-        others.push_back(peer.entry.address);
+        others[peer.entry.failureDomain].push_back(peer.entry.address);
     }
-    for (std::size_t i = 0; i < RandomTargets && !others.empty(); ++i) {
-        const std::size_t chosen = m_random.below(others.size());
-        targets.push_back(others[chosen]);
-        others.erase(others.begin() + static_cast<std::ptrdiff_t>(chosen));
+    for (auto &[domain, addresses] : others) {
+        for (std::size_t i = 0; i < RandomTargets && !addresses.empty(); ++i) {
+            const std::size_t chosen = m_random.below(addresses.size());
+            targets.push_back(addresses[chosen]);
+            addresses.erase(addresses.begin() + static_cast<std::ptrdiff_t>(chosen));
+        }
     }
     for (const endpoint &seed : m_seeds) {
         // Seeds may be stale, so they are contacted beside the known instances, but rarely.
@@ -183,7 +189,9 @@
         if (!peer.heard || peer.entry.failureDomain == m_self.failureDomain) {
             continue;
         }
-        (isLive(peer, now) ? heard : silent).insert(peer.entry.failureDomain);
+        const duration limit = m_peers.size() < FullMeshInstances ? LiveTime : SparseLiveTime;
+        const bool isHeard = !peer.entry.leaving && now - peer.heardAt <= limit;
+        (isHeard ? heard : silent).insert(peer.entry.failureDomain);
     }
     for (const std::string &domain : heard) {
         silent.erase(domain);
@@ -213,6 +221,7 @@
             sum.server = load.server;
             sum.busy += load.busy;
             sum.open += load.open;
+            sum.suspicious += std::min(load.suspicious, 1U);
         }
     }
     std::vector<server_load> loads;
