Count a late offer as a sign of silence only after 200 ms without any answer

Change: an offer that is late still moves on after 60 ms and still counts for setting the server aside, but becomes a sign of silence only if the server shows no life until callers repeat their packets. A reader of the store that knows less than others for 500 ms asks them and renews its watches. Settings text is parsed in one place.

Tests: answers that take 100 ms, many offers; offers that nobody answers for 200 ms.

--- a/packages/core/settings_reader.cpp
+++ b/packages/core/settings_reader.cpp
@@ -44,6 +44,17 @@
     return std::chrono::milliseconds(*parsed);
 }
 
+result<Json::Value> parseSettingsText(const std::string &file, const std::string &text)
+{
+    result<Json::Value> root = parseJsonObject(text);
+    if (!isOk(root)) {
+        error fault = errorOf(root);
+        fault.message = file + ": " + fault.message;
+        return fault;
+    }
+    return root;
+}
+
 settings_reader::settings_reader(std::string file, std::string path, const Json::Value &object)
     : m_file(std::move(file))
     , m_path(std::move(path))
--- a/packages/core/settings_reader.h
+++ b/packages/core/settings_reader.h
@@ -13,6 +13,9 @@
 
 namespace ebonyway {
 
+/** Parses the text of a settings file. Fails with InvalidInput; the message names the file. */
+result<Json::Value> parseSettingsText(const std::string &file, const std::string &text);
+
 /**
  * Reads typed values from one JSON object of a settings file and remembers the first fault.
  * Every fault names the file, the key with its path, the value and the remedy. Keys that nobody has
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -200,8 +200,11 @@
         // This instance stood still; answers may wait in its receive queue.
         m_judgeOffersAfter = now + AnswerTime;
     }
-    while (now >= m_judgeOffersAfter && !m_offers.empty()
-           && now - m_offers.front().first > AnswerTime) {
+    if (now < m_judgeOffersAfter) {
+        return offers;
+    }
+    m_evidence.checkLateOffers(now);
+    while (!m_offers.empty() && now - m_offers.front().first > AnswerTime) {
         const flow_id flow = m_offers.front().second;
         m_offers.pop_front();
         flow_record *record = m_flows.find(flow);
@@ -222,7 +225,7 @@
         if (!choice || choice->tier != placement_tier::Warm) {
             continue;
         }
-        m_evidence.onSilence(record->server, now);
+        m_evidence.onLateOffer(record->server, record->offeredAt, now);
         const time_point lastSeen = record->lastSeen;
         const forward_packet target = place(flow, *service, *choice, 0, record, now);
         record->lastSeen = lastSeen;
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t MostDisproofs = 3;
 constexpr duration DisproofLifetime = 5s;
 
+// Callers repeat an opening packet after this time; an answer that takes longer is none.
+constexpr duration CallerRepeatTime = 200ms;
+
 void addTo(std::uint32_t &count, int change)
 {
     count = static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::int64_t{count} + change));
@@ -118,11 +121,33 @@
 }
 
 void server_evidence::onSilence(server_key server, time_point now)
+{
+    suspect(server, now);
+    countSilence(server, now);
+}
+
+void server_evidence::onLateOffer(server_key server, time_point offeredAt, time_point now)
+{
+    m_lateOffers.push_back({offeredAt, server});
+    countSilence(server, now);
+}
+
+void server_evidence::checkLateOffers(time_point now)
+{
+    while (!m_lateOffers.empty() && now - m_lateOffers.front().offeredAt > CallerRepeatTime) {
+        const late_offer late = m_lateOffers.front();
+        m_lateOffers.pop_front();
+        if (condition(late.server).lastAnswer < late.offeredAt) {
+            suspect(late.server, now);
+        }
+    }
+}
+
+void server_evidence::countSilence(server_key server, time_point now)
 {
     server_condition &state = m_conditions[server];
     onWithdrawnOffer(server);
     ++state.silences;
-    suspect(server, now);
     if (state.trialUnderWay || state.silences >= SilencesUntilSetAside) {
         setAside(server, state, now);
     }
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -56,8 +56,15 @@
     void onAnswer(server_key server, time_point now);
     /** An open flow of the server has made progress. */
     void onProgress(server_key server, time_point now);
-    /** An offer stayed unanswered. */
+    /** An offer stayed unanswered until its caller repeated it or gave up. */
     void onSilence(server_key server, time_point now);
+    /**
+     * An offer stayed unanswered for AnswerTime and went to another server. On a full link answers
+     * may take longer, so this becomes a sign of silence only later, by checkLateOffers().
+     */
+    void onLateOffer(server_key server, time_point offeredAt, time_point now);
+    /** Judges late offers whose servers showed no life until callers would have repeated them. */
+    void checkLateOffers(time_point now);
     /** A caller had to repeat a packet of an open flow. */
     void onRepeat(server_key server, time_point now);
     /** An offer was given up without a verdict, for example because the caller went away. */
@@ -95,12 +102,20 @@
 
 private:
     std::unordered_map<server_key, server_condition> m_conditions;
+    struct late_offer
+    {
+        time_point offeredAt;
+        server_key server;
+    };
+
+    void countSilence(server_key server, time_point now);
     void suspect(server_key server, time_point now);
     void setAside(server_key server, server_condition &state, time_point now);
     bool isDomainSilent(server_key server, time_point now) const;
 
     std::unordered_map<server_key, std::string> m_domainOf;
     std::unordered_map<std::string, domain_condition> m_domains;
+    std::deque<late_offer> m_lateOffers; ///< Oldest first.
     std::set<std::string> m_silentDomains;
     time_point m_lastProgress; ///< Of any server.
     std::deque<time_point> m_disproved; ///< When a suspected server made progress after all.
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -23,6 +23,10 @@
 // A neighbour answers within milliseconds; another one is asked after that.
 constexpr duration PullTimeout = 500ms;
 
+// The store tells all its readers of a change within milliseconds. An instance that still knows
+// less than others after this long asks them.
+constexpr duration LongestLag = 500ms;
+
 constexpr const char *KnowledgePath = "/knowledge";
 
 // Expiry of lapsed entries, changed settings and suppressed log lines.
@@ -210,32 +214,48 @@
         return;
     }
     const auto source = m_peers.betterInformed(m_knowledge.revisions(), now);
-    // A reader waits a moment for the store to tell it the same.
-    if (!source || (m_follower.isReading() && m_follower.storeAnswers() && m_known)) {
+    if (!source) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince) {
+        m_behindSince = now;
+    }
+    const bool storeWillTell = m_follower.isReading() && m_follower.storeAnswers() && m_known;
+    if (storeWillTell && now - *m_behindSince < LongestLag) {
         return;
     }
     if (!m_peerClient || m_peerClientAddress != *source) {
         m_peerClient = std::make_unique<http_client>(m_control.loop(), *source);
         m_peerClientAddress = *source;
     }
-    m_peerClient->call(
-            "GET", KnowledgePath, "", now + PullTimeout,
-            [this, from = *source](const result<http_response> &outcome) {
-                if (!isOk(outcome) || valueOf(outcome).status != 200) {
-                    m_log.write(
-                            {log_level::Warn, "knowledge_not_pulled", {{"from", from.toString()}}});
-                    return;
-                }
-                const auto passed = decodeKnowledge(valueOf(outcome).body);
-                if (!isOk(passed)) {
-                    m_log.write({log_level::Warn,
-                                 "knowledge_refused",
-                                 {{"from", from.toString()}, {"detail", errorOf(passed).message}}});
-                    return;
-                }
-                logAndPublish(
-                        m_knowledge.integrate(valueOf(passed), std::chrono::steady_clock::now()));
-            });
+    m_peerClient->call("GET", KnowledgePath, "", now + PullTimeout,
+                       [this, from = *source](const result<http_response> &outcome) {
+                           onKnowledge(from, outcome);
+                       });
+}
+
+void forwarding_daemon::onKnowledge(const endpoint &from, const result<http_response> &outcome)
+{
+    if (!isOk(outcome) || valueOf(outcome).status != 200) {
+        m_log.write({log_level::Warn, "knowledge_not_pulled", {{"from", from.toString()}}});
+        return;
+    }
+    const auto passed = decodeKnowledge(valueOf(outcome).body);
+    if (!isOk(passed)) {
+        m_log.write({log_level::Warn,
+                     "knowledge_refused",
+                     {{"from", from.toString()}, {"detail", errorOf(passed).message}}});
+        return;
+    }
+    const time_point now = std::chrono::steady_clock::now();
+    const auto changes = m_knowledge.integrate(valueOf(passed), now);
+    if (!changes.empty() && m_follower.isReading() && m_known) {
+        // The store should have told this instance first, so its watches may be dead.
+        m_log.write({log_level::Warn, "store_watch_lags", {{"from", from.toString()}}});
+        m_follower.renew(now);
+    }
+    logAndPublish(changes);
 }
 
 http_page forwarding_daemon::knowledgePage(const std::string &path) const
--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -51,6 +52,7 @@
     void tickPeers(time_point now);
     void sendHeartbeat(bool afterChange, time_point now);
     void pullKnowledge(time_point now);
+    void onKnowledge(const endpoint &from, const result<http_response> &outcome);
     void followStore(time_point now);
     void checkPause(time_point now);
     void checkSettings(time_point now);
@@ -85,9 +87,9 @@
     http_listener m_peerPages;
     std::unique_ptr<http_client> m_peerClient; ///< Of the last instance that knew more.
     endpoint m_peerClientAddress;
+    std::optional<time_point> m_behindSince; ///< Other instances know more than this one.
     std::vector<server_load> m_loads;
     time_point m_nextHeartbeat;
-    time_point m_startedReading;
     traffic_loop m_traffic;
 
     std::atomic<bool> m_stopRequested = false;
--- a/packages/forwarding/process/forwarding_settings.cpp
+++ b/packages/forwarding/process/forwarding_settings.cpp
@@ -1,6 +1,5 @@
 #include "forwarding/process/forwarding_settings.h"
 
-#include "core/json_text.h"
 #include "core/settings_reader.h"
 
 namespace ebonyway {
@@ -17,11 +16,9 @@
 result<forwarding_settings> parseForwardingSettings(const std::string &file,
                                                     const std::string &text)
 {
-    const result<Json::Value> root = parseJsonObject(text);
+    const result<Json::Value> root = parseSettingsText(file, text);
     if (!isOk(root)) {
-        error fault = errorOf(root);
-        fault.message = file + ": " + fault.message;
-        return fault;
+        return errorOf(root);
     }
     settings_reader reader(file, "", valueOf(root));
     forwarding_settings settings;
--- a/packages/process/settings.cpp
+++ b/packages/process/settings.cpp
@@ -1,6 +1,5 @@
 #include "process/settings.h"
 
-#include "core/json_text.h"
 #include "core/settings_reader.h"
 #include "core/text_file.h"
 
@@ -84,11 +83,9 @@
 
 result<parsed_settings> parseAll(const std::string &file, const std::string &text)
 {
-    const result<Json::Value> root = parseJsonObject(text);
+    const result<Json::Value> root = parseSettingsText(file, text);
     if (!isOk(root)) {
-        error fault = errorOf(root);
-        fault.message = file + ": " + fault.message;
-        return fault;
+        return errorOf(root);
     }
     settings_reader reader(file, "", valueOf(root));
     parsed_settings parsed;
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -395,6 +395,35 @@
     CHECK(std::holds_alternative<forward_packet>(repeatUntilSilent(samples::orderAddress(), true)));
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture, "answers that take 100 ms, many offers, make no server silent")
+{
+    // On a full link answers took longer than offers wait, and flows of healthy servers were reset.
+    const auto [feed, feedToken] = openFlow();
+    const server_key server = observer.placements.back().server;
+    for (int i = 0; i < 12; ++i) {
+        const flow_packet first = newFlow();
+        const auto target = std::get<forward_packet>(subject.decide(first, now));
+        checkOffers(100ms);
+        subject.decide(later(first, target.token, 1, 0, 1), now);
+    }
+    CHECK_FALSE(subject.evidence().looksSilent(server, now));
+    CHECK(serverOf(subject.decide(later(feed, feedToken, 1, 100, 1), now)) == server);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "offers that nobody answers for 200 ms, several, make the server suspect")
+{
+    depart(2);
+    depart(3);
+    publish();
+    subject.decide(newFlow(), now);
+    REQUIRE(observer.placements.back().server == server_key{1});
+    checkOffers(100ms);
+    CHECK(subject.evidence().condition(server_key{1}).suspicions == 0);
+    checkOffers(140ms);
+    CHECK(subject.evidence().condition(server_key{1}).suspicions == 1);
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture,
                   "stalled instance, original and repeat arrive together, proves nothing")
 {
