--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -397,7 +397,7 @@
 
 TEST_CASE_FIXTURE(forwarder_fixture, "answers that take 100 ms, many offers, make no server silent")
 {
-    // On a full link answers took longer than offers wait, and flows of healthy servers were reset.
+    // Answers on a full link take longer than offers wait.
     const auto [feed, feedToken] = openFlow();
     const server_key server = observer.placements.back().server;
     for (int i = 0; i < 12; ++i) {
