--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -63,12 +63,12 @@
 void forwarder::setPeerLoads(const std::vector<server_load> &loads)
 {
     for (const auto &[key, state] : m_evidence.all()) {
-        if (state.peersBusy + state.peersOpen + state.peersSuspicious > 0) {
-            m_evidence.setPeerLoad(key, 0, 0, 0);
+        if (state.peersOpen + state.peersSuspicious > 0) {
+            m_evidence.setPeerLoad(key, 0, 0);
         }
     }
     for (const server_load &load : loads) {
-        m_evidence.setPeerLoad(load.server, load.busy, load.open, load.suspicious);
+        m_evidence.setPeerLoad(load.server, load.open, load.suspicious);
     }
 }
 
@@ -85,8 +85,8 @@
         if (state.open + state.opening == 0) {
             continue;
         }
-        loads.push_back({key, state.busy + state.opening, state.open + state.opening,
-                         m_evidence.looksSilent(key, now) ? 1U : 0U});
+        loads.push_back(
+                {key, state.open + state.opening, m_evidence.looksSilent(key, now) ? 1U : 0U});
     }
     return loads;
 }
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -62,14 +62,13 @@
 struct server_load
 {
     server_key server;
-    std::uint32_t busy = 0;
-    std::uint32_t open = 0;
+    std::uint32_t open = 0; ///< Flows, with those that have not been answered yet.
     std::uint32_t suspicious = 0; ///< Instances for which the server looks silent.
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, busy, open, suspicious);
+        archive(server, open, suspicious);
     }
 };
 
@@ -113,7 +112,7 @@
 
     /** Sets how many instances share the rates of cold backend servers. */
     void setInstances(std::size_t count);
-    /** Sets what all other instances together send to each backend server. */
+    /** Sets what all other instances together send to each backend server and think of it. */
     void setPeerLoads(const std::vector<server_load> &loads);
 
     /** Sets the failure domains whose instances are all silent; others are preferred for new flows.
--- a/packages/forwarding/connection/placement.cpp
+++ b/packages/forwarding/connection/placement.cpp
@@ -43,8 +43,10 @@
 
 double placement::loadOf(const directory_server &server, const server_condition &state) const
 {
-    const double busy = static_cast<double>(state.busy + state.opening + state.peersBusy);
-    const double open = static_cast<double>(state.open + state.peersOpen);
+    // What others send is known only some hundred milliseconds late, several times the length of a
+    // request; with it, all instances chose the same servers at once.
+    const double busy = state.busy + state.opening;
+    const double open = state.open;
     const double work = busy + IdleFlowWeight * std::max(0.0, open - busy);
     return work / static_cast<double>(std::max(1U, server.entry.slots));
 }
--- a/packages/forwarding/connection/server_condition.h
+++ b/packages/forwarding/connection/server_condition.h
@@ -23,8 +23,7 @@
     std::optional<time_point> setAsideUntil;
     bool trialUnderWay = false; ///< One flow was offered after the period set aside.
     time_point lastAnswer; ///< When a caller last showed that the server had answered.
-    std::uint64_t peersBusy = 0; ///< Busy flows that other instances report.
-    std::uint64_t peersOpen = 0;
+    std::uint64_t peersOpen = 0; ///< Open flows that other instances report.
     std::uint32_t peersSuspicious = 0; ///< Other instances for which it looks silent.
 };
 
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -262,11 +262,9 @@
            || (domain != m_domainOf.end() && m_silentDomains.contains(domain->second));
 }
 
-void server_evidence::setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open,
-                                  std::uint32_t suspicious)
+void server_evidence::setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious)
 {
     server_condition &state = m_conditions[server];
-    state.peersBusy = busy;
     state.peersOpen = open;
     state.peersSuspicious = suspicious;
 }
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -73,8 +73,7 @@
     void addOpen(server_key server, int change);
     void addBusy(server_key server, int change);
     /** Sets what the other instances send to the server, and for how many it looks silent. */
-    void setPeerLoad(server_key server, std::uint64_t busy, std::uint64_t open,
-                     std::uint32_t suspicious);
+    void setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious);
     /** Sets the failure domains whose instances are all silent. */
     void setSilentDomains(std::set<std::string> domains);
 
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -219,7 +219,6 @@
         for (const server_load &load : peer.loads) {
             server_load &sum = sums[load.server];
             sum.server = load.server;
-            sum.busy += load.busy;
             sum.open += load.open;
             sum.suspicious += std::min(load.suspicious, 1U);
         }
--- a/tests/system/forwarding_session_test.cpp
+++ b/tests/system/forwarding_session_test.cpp
@@ -251,6 +251,25 @@
     }
 }
 
+TEST_CASE_FIXTURE(forwarding_session_fixture,
+                  "flow at one instance, later, counts in the other one's view")
+{
+    // The loads were once collected and never handed to the heartbeats.
+    store.put("servers", "i-7f3a91c2", serverSpec(5, "ready"));
+    const forwarding_instance one(1);
+    const forwarding_instance two(2);
+    REQUIRE(eventually([] { return readiness(1) == 200 && readiness(2) == 200; }));
+    const auto received = throughInstance(1, opening(1));
+    REQUIRE_FALSE(received.empty());
+    const auto whole = std::span(received).subspan(platform::ServerPrefixBytes);
+    std::vector<std::byte> later(whole.size());
+    std::copy(whole.begin(), whole.end(), later.begin());
+    later[14] = std::byte{1};
+    REQUIRE_FALSE(throughInstance(1, later).empty());
+    CHECK(eventually(
+            [] { return metrics(2).find("ebonyway_peer_flows 1\n") != std::string::npos; }));
+}
+
 TEST_CASE_FIXTURE(forwarding_session_fixture,
                   "no usable server, new flow, is reset at the caller's address")
 {
