--- a/packages/forwarding/connection/flow_table.cpp
+++ b/packages/forwarding/connection/flow_table.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-bool flow_record::wasOfferedTo(server_key key) const
+bool followed_flow::wasOfferedTo(server_key key) const
 {
     return std::find(offers.begin(), offers.begin() + offerCount, key)
            != offers.begin() + offerCount;
@@ -28,25 +28,25 @@
     : m_capacity(capacity)
 { }
 
-flow_record *flow_table::find(const flow_id &flow)
+followed_flow *flow_table::find(const flow_id &flow)
 {
     const auto found = m_flows.find(flow);
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
-const flow_record *flow_table::find(const flow_id &flow) const
+const followed_flow *flow_table::find(const flow_id &flow) const
 {
     const auto found = m_flows.find(flow);
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
-flow_record *flow_table::add(const flow_id &flow, time_point now)
+followed_flow *flow_table::add(const flow_id &flow, time_point now)
 {
     if (m_flows.size() >= m_capacity) {
         return nullptr;
     }
-    flow_record &record = m_flows[flow];
-    record = flow_record{};
+    followed_flow &record = m_flows[flow];
+    record = followed_flow{};
     record.firstSeen = now;
     record.lastSeen = now;
     return &record;
@@ -57,15 +57,15 @@
     m_flows.erase(flow);
 }
 
-std::vector<flow_record> flow_table::removeIdle(time_point now, duration idleTimeout)
+std::vector<followed_flow> flow_table::removeIdle(time_point now, duration idleTimeout)
 {
-    std::vector<flow_record> removed;
+    std::vector<followed_flow> removed;
     for (auto it = m_flows.begin(); it != m_flows.end();) {
-        const flow_record &record = it->second;
+        const followed_flow &record = it->second;
         duration lifetime = idleTimeout;
-        if (record.state == flow_record::phase::Opening) {
+        if (record.state == followed_flow::phase::Opening) {
             lifetime = OpeningLifetime;
-        } else if (record.state == flow_record::phase::Finished) {
+        } else if (record.state == followed_flow::phase::Finished) {
             lifetime = FinishedLifetime;
         }
         if (now - record.lastSeen <= lifetime) {
--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -14,7 +14,7 @@
 constexpr std::size_t MaxOffers = 3;
 
 /** What an instance remembers of a flow whose packets it forwards. */
-struct flow_record
+struct followed_flow
 {
     enum class phase : std::uint8_t {
         Opening, ///< An opening packet was forwarded; no later packet has been seen.
@@ -47,16 +47,16 @@
 public:
     explicit flow_table(std::size_t capacity);
 
-    flow_record *find(const flow_id &flow);
-    const flow_record *find(const flow_id &flow) const;
+    followed_flow *find(const flow_id &flow);
+    const followed_flow *find(const flow_id &flow) const;
     /** Adds a record. Returns nullptr if the table is full. */
-    flow_record *add(const flow_id &flow, time_point now);
+    followed_flow *add(const flow_id &flow, time_point now);
 
     /** Removes a flow that has ended in another way than by silence. */
     void remove(const flow_id &flow);
 
     /** Removes flows that ended or fell silent and returns them. */
-    std::vector<flow_record> removeIdle(time_point now, duration idleTimeout);
+    std::vector<followed_flow> removeIdle(time_point now, duration idleTimeout);
 
     std::size_t size() const { return m_flows.size(); }
 
@@ -65,7 +65,7 @@
 
 private:
     std::size_t m_capacity;
-    std::unordered_map<flow_id, flow_record> m_flows;
+    std::unordered_map<flow_id, followed_flow> m_flows;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -60,14 +60,14 @@
     m_coldStarts.setInstances(count);
 }
 
-void forwarder::setPeerLoads(const std::vector<server_load> &loads)
+void forwarder::setPeerLoads(const std::vector<peer_server_load> &loads)
 {
     for (const auto &[key, state] : m_evidence.all()) {
         if (state.peersOpen + state.peersSuspicious > 0) {
             m_evidence.setPeerLoad(key, 0, 0);
         }
     }
-    for (const server_load &load : loads) {
+    for (const peer_server_load &load : loads) {
         m_evidence.setPeerLoad(load.server, load.open, load.suspicious);
     }
 }
@@ -78,9 +78,9 @@
     m_placement.setSilentDomains(std::move(domains));
 }
 
-std::vector<server_load> forwarder::loads(time_point now) const
+std::vector<peer_server_load> forwarder::loads(time_point now) const
 {
-    std::vector<server_load> loads;
+    std::vector<peer_server_load> loads;
     for (const auto &[key, state] : m_evidence.all()) {
         if (state.open + state.opening == 0) {
             continue;
@@ -93,38 +93,38 @@
 
 bool forwarder::isOpening(const flow_id &flow) const
 {
-    const flow_record *record = m_flows.find(flow);
-    return record && record->state == flow_record::phase::Opening;
+    const followed_flow *record = m_flows.find(flow);
+    return record && record->state == followed_flow::phase::Opening;
 }
 
 forwarding_decision forwarder::decide(const flow_packet &packet, time_point now)
 {
     if (!m_known) {
-        return refuse(packet, refusal_reason::NotReady, false);
+        return refuse(packet, forwarding_refusal::NotReady, false);
     }
     if (packet.opens && packet.acknowledges) {
         // Only backend servers answer an opening packet, and their packets do not pass here.
-        return refuse(packet, refusal_reason::Malformed, false);
+        return refuse(packet, forwarding_refusal::Malformed, false);
     }
     return packet.opens ? decideOpening(packet, now) : decideOpen(packet, now);
 }
 
 forwarding_decision forwarder::decideOpening(const flow_packet &packet, time_point now)
 {
-    flow_record *record = m_flows.find(packet.flow);
+    followed_flow *record = m_flows.find(packet.flow);
     const bool isCopy = packet.acknowledged > 0;
     const auto found = m_known->routes().routes.find(packet.flow.service);
     if (found == m_known->routes().routes.end()) {
         // Another instance may have forwarded an earlier copy, so the flow may be open already.
-        return refuse(packet, refusal_reason::NoRoute, !isCopy);
+        return refuse(packet, forwarding_refusal::NoRoute, !isCopy);
     }
-    if (record && record->state == flow_record::phase::Open) {
+    if (record && record->state == followed_flow::phase::Open) {
         const directory_server *server = m_known->byToken(tokenOf(record->server));
         if (server) {
             return forward_packet{server->entry.key, server->entry.address, server->token};
         }
     }
-    if (record && record->state == flow_record::phase::Opening && record->offerCount > 0) {
+    if (record && record->state == followed_flow::phase::Opening && record->offerCount > 0) {
         if (!isCopy || now - record->offeredAt < AnswerTime) {
             // The network doubled the packet, or this instance was stalled and has only just
             // forwarded the one before.
@@ -139,11 +139,11 @@
 }
 
 forwarding_decision forwarder::offer(const flow_packet &packet, const route &to,
-                                     flow_record *record, time_point now)
+                                     followed_flow *record, time_point now)
 {
     const std::string *service = m_placement.chooseService(to);
     if (!service) {
-        return refuse(packet, refusal_reason::NoServerUsable, packet.acknowledged == 0);
+        return refuse(packet, forwarding_refusal::NoServerUsable, packet.acknowledged == 0);
     }
     const bool offeredBefore = record && record->offerCount > 0;
     const auto choice = m_placement.choose(*m_known, m_evidence, m_coldStarts, *service,
@@ -167,7 +167,7 @@
 
 forward_packet forwarder::place(const flow_id &flow, const std::string &service,
                                 const placement_choice &choice, std::uint32_t copy,
-                                flow_record *record, time_point now)
+                                followed_flow *record, time_point now)
 {
     const directory_server &server = *choice.server;
     const server_key key = server.entry.key;
@@ -177,7 +177,7 @@
         m_coldStarts.spend(key, known ? limits->second.coldRequestsPerSecond : 0.0, now);
     }
     if (record) {
-        record->state = flow_record::phase::Opening;
+        record->state = followed_flow::phase::Opening;
         record->server = key;
         record->offeredAt = now;
         record->lastSeen = now;
@@ -207,9 +207,9 @@
     while (!m_offers.empty() && now - m_offers.front().first > AnswerTime) {
         const flow_id flow = m_offers.front().second;
         m_offers.pop_front();
-        flow_record *record = m_flows.find(flow);
+        followed_flow *record = m_flows.find(flow);
         // A flow that was offered again since has a later entry of its own.
-        if (!record || record->state != flow_record::phase::Opening
+        if (!record || record->state != followed_flow::phase::Opening
             || now - record->offeredAt <= AnswerTime || record->offerCount >= MaxOffers) {
             continue;
         }
@@ -235,34 +235,34 @@
 }
 
 forwarding_decision forwarder::holdOrRefuse(const flow_packet &packet, const std::string &service,
-                                            flow_record *record, time_point now)
+                                            followed_flow *record, time_point now)
 {
     const bool isCopy = packet.acknowledged > 0;
     if (m_known->candidates(service).empty()) {
         const bool seenFromTheStart = record && record->offerCount == 0;
-        return refuse(packet, refusal_reason::NoServerUsable, !isCopy || seenFromTheStart);
+        return refuse(packet, forwarding_refusal::NoServerUsable, !isCopy || seenFromTheStart);
     }
     // Cold backend servers take no more flows right now; a later copy may find room.
     if (!record && !isCopy) {
         record = m_flows.add(packet.flow, now);
     }
     const bool neverOffered = record && record->offerCount == 0;
-    return refuse(packet, refusal_reason::Overloaded,
+    return refuse(packet, forwarding_refusal::Overloaded,
                   neverOffered && packet.acknowledged >= LastCopy);
 }
 
 forwarding_decision forwarder::decideOpen(const flow_packet &packet, time_point now)
 {
     if (m_known->routes().withdrawn.contains(packet.flow.service)) {
-        return refuse(packet, refusal_reason::RouteWithdrawn, !packet.resets);
+        return refuse(packet, forwarding_refusal::RouteWithdrawn, !packet.resets);
     }
     const directory_server *server = m_known->byToken(packet.token);
     if (!server) {
-        return refuse(packet, refusal_reason::UnknownToken, false);
+        return refuse(packet, forwarding_refusal::UnknownToken, false);
     }
     follow(packet, server->entry.key, now);
     if (shouldGiveUp(packet, *server, now)) {
-        return refuse(packet, refusal_reason::BackendServerDead, true);
+        return refuse(packet, forwarding_refusal::BackendServerDead, true);
     }
     return forward_packet{server->entry.key, server->entry.address, server->token};
 }
@@ -290,7 +290,7 @@
 
 void forwarder::follow(const flow_packet &packet, server_key server, time_point now)
 {
-    flow_record *record = m_flows.find(packet.flow);
+    followed_flow *record = m_flows.find(packet.flow);
     if (!record) {
         if (packet.finishes || packet.resets) {
             return;
@@ -299,17 +299,17 @@
         if (!record) {
             return;
         }
-        record->state = flow_record::phase::Open;
+        record->state = followed_flow::phase::Open;
         record->server = server;
         record->acknowledged = packet.acknowledged;
         record->nextSequence = packet.sequence;
         record->deliveredSequence = packet.sequence;
         m_evidence.addOpen(server, 1);
-    } else if (record->state == flow_record::phase::Opening) {
+    } else if (record->state == followed_flow::phase::Opening) {
         onFirstPacketAfterOpening(packet, *record, server, now);
     }
     record->lastSeen = now;
-    if (record->state == flow_record::phase::Finished) {
+    if (record->state == followed_flow::phase::Finished) {
         return;
     }
     followData(packet, *record, now);
@@ -318,7 +318,7 @@
     }
 }
 
-void forwarder::onFirstPacketAfterOpening(const flow_packet &packet, flow_record &record,
+void forwarder::onFirstPacketAfterOpening(const flow_packet &packet, followed_flow &record,
                                           server_key server, time_point now)
 {
     if (record.offerCount > 0) {
@@ -330,7 +330,7 @@
             m_evidence.onProgress(server, now);
         }
     }
-    record.state = flow_record::phase::Open;
+    record.state = followed_flow::phase::Open;
     record.server = server;
     record.acknowledged = packet.acknowledged;
     record.nextSequence = packet.sequence;
@@ -339,7 +339,7 @@
     m_observer.onOpened(packet.flow, server, now - record.firstSeen);
 }
 
-void forwarder::followData(const flow_packet &packet, flow_record &record, time_point now)
+void forwarder::followData(const flow_packet &packet, followed_flow &record, time_point now)
 {
     if (isAfter(packet.acknowledged, record.acknowledged)) {
         record.acknowledged = packet.acknowledged;
@@ -375,12 +375,12 @@
     }
 }
 
-void forwarder::finish(flow_record &record)
+void forwarder::finish(followed_flow &record)
 {
-    if (record.state != flow_record::phase::Open) {
+    if (record.state != followed_flow::phase::Open) {
         return;
     }
-    record.state = flow_record::phase::Finished;
+    record.state = followed_flow::phase::Finished;
     m_evidence.addOpen(record.server, -1);
     if (record.busy) {
         record.busy = false;
@@ -388,7 +388,8 @@
     }
 }
 
-forwarding_decision forwarder::refuse(const flow_packet &packet, refusal_reason reason, bool reset)
+forwarding_decision forwarder::refuse(const flow_packet &packet, forwarding_refusal reason,
+                                      bool reset)
 {
     m_observer.onRefusal({packet.flow, reason, reset, packet.opens, packet.token,
                           m_known ? m_known->serial() : 0,
@@ -405,8 +406,8 @@
     if (m_known && m_known->routes().idleTimeout > 0ms) {
         idleTimeout = m_known->routes().idleTimeout;
     }
-    for (flow_record &record : m_flows.removeIdle(now, idleTimeout)) {
-        if (record.state == flow_record::phase::Opening && record.offerCount > 0) {
+    for (followed_flow &record : m_flows.removeIdle(now, idleTimeout)) {
+        if (record.state == followed_flow::phase::Opening && record.offerCount > 0) {
             m_evidence.onSilence(record.server, now);
         }
         finish(record);
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -37,7 +37,7 @@
 struct refusal_record
 {
     flow_id flow;
-    refusal_reason reason = refusal_reason::NoRoute;
+    forwarding_refusal reason = forwarding_refusal::NoRoute;
     bool reset = false; ///< Otherwise the packet was dropped.
     bool opening = false;
     flow_token token;
@@ -59,7 +59,7 @@
 };
 
 /** Load of one backend server as this instance causes it. */
-struct server_load
+struct peer_server_load
 {
     server_key server;
     std::uint32_t open = 0; ///< Flows, with those that have not been answered yet.
@@ -113,13 +113,13 @@
     /** Sets how many instances share the rates of cold backend servers. */
     void setInstances(std::size_t count);
     /** Sets what all other instances together send to each backend server and think of it. */
-    void setPeerLoads(const std::vector<server_load> &loads);
+    void setPeerLoads(const std::vector<peer_server_load> &loads);
 
     /** Sets the failure domains whose instances are all silent; others are preferred for new flows.
      */
     void setSilentDomains(std::set<std::string> domains);
 
-    std::vector<server_load> loads(time_point now) const;
+    std::vector<peer_server_load> loads(time_point now) const;
     bool isOpening(const flow_id &flow) const;
     std::size_t flowCount() const { return m_flows.size(); }
     const server_evidence &evidence() const { return m_evidence; }
@@ -127,21 +127,21 @@
 private:
     forwarding_decision decideOpening(const flow_packet &packet, time_point now);
     forwarding_decision decideOpen(const flow_packet &packet, time_point now);
-    forwarding_decision offer(const flow_packet &packet, const route &to, flow_record *record,
+    forwarding_decision offer(const flow_packet &packet, const route &to, followed_flow *record,
                               time_point now);
     forward_packet place(const flow_id &flow, const std::string &service,
-                         const placement_choice &choice, std::uint32_t copy, flow_record *record,
+                         const placement_choice &choice, std::uint32_t copy, followed_flow *record,
                          time_point now);
     bool shouldGiveUp(const flow_packet &packet, const directory_server &server, time_point now);
-    forwarding_decision refuse(const flow_packet &packet, refusal_reason reason, bool reset);
+    forwarding_decision refuse(const flow_packet &packet, forwarding_refusal reason, bool reset);
     forwarding_decision holdOrRefuse(const flow_packet &packet, const std::string &service,
-                                     flow_record *record, time_point now);
+                                     followed_flow *record, time_point now);
 
     void follow(const flow_packet &packet, server_key server, time_point now);
-    void onFirstPacketAfterOpening(const flow_packet &packet, flow_record &record,
+    void onFirstPacketAfterOpening(const flow_packet &packet, followed_flow &record,
                                    server_key server, time_point now);
-    void followData(const flow_packet &packet, flow_record &record, time_point now);
-    void finish(flow_record &record);
+    void followData(const flow_packet &packet, followed_flow &record, time_point now);
+    void finish(followed_flow &record);
 
     placement m_placement;
     forwarding_observer &m_observer;
--- a/packages/forwarding/connection/placement.cpp
+++ b/packages/forwarding/connection/placement.cpp
@@ -55,7 +55,7 @@
                                                   const server_evidence &evidence,
                                                   const cold_start_budget &coldStarts,
                                                   const std::string &service,
-                                                  const flow_record *previous, time_point now)
+                                                  const followed_flow *previous, time_point now)
 {
     const auto limits = known.routes().services.find(service);
     const bool hasLimits = limits != known.routes().services.end();
--- a/packages/forwarding/connection/placement.h
+++ b/packages/forwarding/connection/placement.h
@@ -51,8 +51,8 @@
      */
     std::optional<placement_choice> choose(const directory &known, const server_evidence &evidence,
                                            const cold_start_budget &coldStarts,
-                                           const std::string &service, const flow_record *previous,
-                                           time_point now);
+                                           const std::string &service,
+                                           const followed_flow *previous, time_point now);
 
     /** Chooses one of the services of a route by weight. Returns nullptr if it has none. */
     const std::string *chooseService(const route &from);
--- a/packages/forwarding/edge/decision_log.cpp
+++ b/packages/forwarding/edge/decision_log.cpp
@@ -55,7 +55,7 @@
     m_log.write({log_level::Info,
                  record.reset ? "flow_reset" : "packet_dropped",
                  {{"flow", flowText(record.flow)},
-                  {"reason", std::string(refusalReasonName(record.reason))},
+                  {"reason", std::string(forwardingRefusalName(record.reason))},
                   {"opening", record.opening},
                   {"token", tokenText(record.token)},
                   {"directory", record.directorySerial},
--- a/packages/forwarding/edge/forwarding_counters.cpp
+++ b/packages/forwarding/edge/forwarding_counters.cpp
@@ -25,7 +25,7 @@
                {{"tier", placementTierName(static_cast<placement_tier>(i))}});
     }
     for (std::size_t i = 0; i < resets.size(); ++i) {
-        const std::string reason = refusalReasonName(static_cast<refusal_reason>(i));
+        const std::string reason = forwardingRefusalName(static_cast<forwarding_refusal>(i));
         append(samples, "resets_total", resets[i], {{"reason", reason}});
         append(samples, "drops_total", drops[i], {{"reason", reason}});
     }
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -81,7 +81,7 @@
     , m_traffic(frame,
                 forwarder_options{m_options.failureDomain, seedOf(m_options.instance),
                                   m_options.flowCapacity},
-                m_log, m_metrics, [this](std::vector<server_load> loads) {
+                m_log, m_metrics, [this](std::vector<peer_server_load> loads) {
                     m_control.post([this, loads = std::move(loads)] { m_loads = loads; });
                 })
 {
@@ -410,7 +410,7 @@
     samples.push_back({"store_answers", {}, m_follower.storeAnswers() ? 1.0 : 0.0});
     samples.push_back({"reads_store", {}, m_follower.isReading() ? 1.0 : 0.0});
     std::uint64_t peerFlows = 0;
-    for (const server_load &load : m_peers.peerLoads(std::chrono::steady_clock::now())) {
+    for (const peer_server_load &load : m_peers.peerLoads(std::chrono::steady_clock::now())) {
         peerFlows += load.open;
     }
     samples.push_back({"peer_flows", {}, static_cast<double>(peerFlows)});
--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -88,7 +88,7 @@
     std::unique_ptr<http_client> m_peerClient; ///< Of the last instance that knew more.
     endpoint m_peerClientAddress;
     std::optional<time_point> m_behindSince; ///< Other instances know more than this one.
-    std::vector<server_load> m_loads;
+    std::vector<peer_server_load> m_loads;
     time_point m_nextHeartbeat;
     traffic_loop m_traffic;
 
--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -64,7 +64,7 @@
     ++m_counters.packets;
     const auto packet = m_frame.decodePacket(bytes);
     if (!packet) {
-        m_decisions.onRefusal({{}, refusal_reason::Malformed, false, false, {}, 0, 0});
+        m_decisions.onRefusal({{}, forwarding_refusal::Malformed, false, false, {}, 0, 0});
         return;
     }
     const time_point now = std::chrono::steady_clock::now();
--- a/packages/forwarding/edge/traffic_loop.h
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -20,7 +20,7 @@
 /** What the control thread has learned from other instances. */
 struct peer_view
 {
-    std::vector<server_load> loads; ///< Of all others together.
+    std::vector<peer_server_load> loads; ///< Of all others together.
     std::size_t instances = 1; ///< That share the rates of cold servers.
     std::set<std::string> silentDomains;
 };
@@ -30,7 +30,7 @@
 {
 public:
     /** Receives this instance's load on the traffic thread. */
-    using load_sink = std::function<void(std::vector<server_load>)>;
+    using load_sink = std::function<void(std::vector<peer_server_load>)>;
 
     traffic_loop(const frame_adapter &frame, forwarder_options options, event_log &log,
                  metrics_registry &metrics, load_sink onLoads);
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -85,7 +85,7 @@
 }
 
 peer_message peer_directory::heartbeat(const known_revisions &revisions,
-                                       std::vector<server_load> loads)
+                                       std::vector<peer_server_load> loads)
 {
     ++m_self.heartbeat;
     peer_message message{m_self, revisions, {}, std::move(loads)};
@@ -209,21 +209,21 @@
     return count;
 }
 
-std::vector<server_load> peer_directory::peerLoads(time_point now) const
+std::vector<peer_server_load> peer_directory::peerLoads(time_point now) const
 {
-    std::map<server_key, server_load> sums;
+    std::map<server_key, peer_server_load> sums;
     for (const auto &[name, peer] : m_peers) {
         if (!isLive(peer, now)) {
             continue;
         }
-        for (const server_load &load : peer.loads) {
-            server_load &sum = sums[load.server];
+        for (const peer_server_load &load : peer.loads) {
+            peer_server_load &sum = sums[load.server];
             sum.server = load.server;
             sum.open += load.open;
             sum.suspicious += std::min(load.suspicious, 1U);
         }
     }
-    std::vector<server_load> loads;
+    std::vector<peer_server_load> loads;
     loads.reserve(sums.size());
     for (const auto &[key, load] : sums) {
         loads.push_back(load);
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -17,7 +17,7 @@
 {
     peer_entry entry;
     known_revisions revisions{};
-    std::vector<server_load> loads;
+    std::vector<peer_server_load> loads;
     time_point heardAt; ///< Of its own last message; old if it is known from others only.
     bool heard = false;
 };
@@ -39,7 +39,7 @@
     void onMessage(const peer_message &message, time_point now);
 
     /** Builds the next heartbeat. */
-    peer_message heartbeat(const known_revisions &revisions, std::vector<server_load> loads);
+    peer_message heartbeat(const known_revisions &revisions, std::vector<peer_server_load> loads);
     /** Returns where the next heartbeat goes. After a change it also goes to the whole domain. */
     std::vector<endpoint> targets(bool afterChange, time_point now);
 
@@ -61,7 +61,7 @@
     /** Live instances, this one included. */
     std::size_t liveCount(time_point now) const;
     /** Sum of what the other live instances send to each backend server. */
-    std::vector<server_load> peerLoads(time_point now) const;
+    std::vector<peer_server_load> peerLoads(time_point now) const;
 
 private:
     bool isLive(const known_peer &peer, time_point now) const;
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -37,7 +37,7 @@
     peer_entry sender;
     known_revisions revisions{};
     std::vector<peer_entry> others; ///< Some of the instances that the sender has heard of.
-    std::vector<server_load> loads; ///< What the sender sends to backend servers.
+    std::vector<peer_server_load> loads; ///< What the sender sends to backend servers.
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/forwarding/request/forwarding_decision.cpp
+++ b/packages/forwarding/request/forwarding_decision.cpp
@@ -2,24 +2,24 @@
 
 namespace ebonyway {
 
-const char *refusalReasonName(refusal_reason reason)
+const char *forwardingRefusalName(forwarding_refusal reason)
 {
     switch (reason) {
-    case refusal_reason::NoRoute:
+    case forwarding_refusal::NoRoute:
         return "no_route";
-    case refusal_reason::RouteWithdrawn:
+    case forwarding_refusal::RouteWithdrawn:
         return "route_withdrawn";
-    case refusal_reason::NoServerUsable:
+    case forwarding_refusal::NoServerUsable:
         return "no_server_usable";
-    case refusal_reason::Overloaded:
+    case forwarding_refusal::Overloaded:
         return "overloaded";
-    case refusal_reason::BackendServerDead:
+    case forwarding_refusal::BackendServerDead:
         return "backend_server_dead";
-    case refusal_reason::NotReady:
+    case forwarding_refusal::NotReady:
         return "not_ready";
-    case refusal_reason::UnknownToken:
+    case forwarding_refusal::UnknownToken:
         return "unknown_token";
-    case refusal_reason::Malformed:
+    case forwarding_refusal::Malformed:
         return "malformed";
     }
     return "malformed";
--- a/packages/forwarding/request/forwarding_decision.h
+++ b/packages/forwarding/request/forwarding_decision.h
@@ -8,7 +8,7 @@
 namespace ebonyway {
 
 /** Why a packet was not forwarded. The names are used in logs and metrics. */
-enum class refusal_reason : std::uint8_t {
+enum class forwarding_refusal : std::uint8_t {
     NoRoute, ///< The desired state has no route for the address and port.
     RouteWithdrawn, ///< The route of an open flow was withdrawn.
     NoServerUsable, ///< Every backend server of the service is gone, draining or evacuated.
@@ -20,7 +20,7 @@
 };
 
 /** Returns the stable lower-case name of a reason. */
-const char *refusalReasonName(refusal_reason reason);
+const char *forwardingRefusalName(forwarding_refusal reason);
 
 /** Send the packet to the backend server, with the token in place of the packet's own. */
 struct forward_packet
@@ -33,13 +33,13 @@
 /** Tell the caller at once that its flow is refused or has ended. */
 struct reset_flow
 {
-    refusal_reason reason = refusal_reason::NoRoute;
+    forwarding_refusal reason = forwarding_refusal::NoRoute;
 };
 
 /** Say nothing; the caller's own timer decides. */
 struct drop_packet
 {
-    refusal_reason reason = refusal_reason::Malformed;
+    forwarding_refusal reason = forwarding_refusal::Malformed;
 };
 
 using forwarding_decision = std::variant<forward_packet, reset_flow, drop_packet>;
--- a/packages/forwarding/version/directory.h
+++ b/packages/forwarding/version/directory.h
@@ -20,7 +20,7 @@
 /** A backend server as an instance knows it. */
 struct directory_server
 {
-    backend_server_entry entry;
+    registered_server entry;
     std::uint64_t revision = 0;
     flow_token token;
     server_standing standing = server_standing::Usable;
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -22,7 +22,7 @@
 // is on its way for up to a heartbeat and a store call.
 constexpr double ReportsUntilColdIsKnown = 1.5;
 
-std::string describeServer(const backend_server_entry &entry)
+std::string describeServer(const registered_server &entry)
 {
     return entry.service + " at " + entry.address.toString() + " in " + entry.failureDomain
            + (entry.draining ? ", draining" : ", ready") + ", cold for "
@@ -56,7 +56,7 @@
     if (found != m_servers.end() && object.revision <= found->second.server.revision) {
         return {};
     }
-    const auto *entry = object.value ? std::get_if<backend_server_entry>(&*object.value) : nullptr;
+    const auto *entry = object.value ? std::get_if<registered_server>(&*object.value) : nullptr;
     if (!entry) {
         const bool unusable = !object.deleted;
         if (found == m_servers.end()) {
--- a/packages/forwarding/version/passed_knowledge.h
+++ b/packages/forwarding/version/passed_knowledge.h
@@ -17,7 +17,7 @@
 {
     std::string name;
     std::uint64_t revision = 0;
-    backend_server_entry server; ///< Of a backend server.
+    registered_server server; ///< Of a backend server.
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -27,7 +27,7 @@
 const char *storeKindName(store_kind kind);
 
 /** What a backend server says of itself. */
-struct backend_server_entry
+struct registered_server
 {
     server_key key;
     std::string service;
@@ -38,7 +38,7 @@
     std::chrono::milliseconds coldRemaining{0}; ///< Counted from when the entry was written.
     std::chrono::milliseconds startedAt{0}; ///< Wall time since 1970; changes with each start.
 
-    bool operator==(const backend_server_entry &) const = default;
+    bool operator==(const registered_server &) const = default;
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -131,7 +131,7 @@
     std::string failureDomain;
 };
 
-using store_value = std::variant<desired_state, backend_server_entry, evacuation>;
+using store_value = std::variant<desired_state, registered_server, evacuation>;
 
 /** One object, or the news that it is gone. */
 struct store_object
--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -145,7 +145,7 @@
 decoded_value decodeServer(const std::string &id, const Json::Value &spec)
 {
     member_reader members(spec);
-    backend_server_entry entry;
+    registered_server entry;
     const auto key = decodeServerKey(id);
     if (!key) {
         return unreadable("the id has no hex digits");
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -53,7 +53,7 @@
     {
         knowledge.apply(store_kind::DesiredState, samples::object(state, ++revision), now);
     }
-    void learn(const backend_server_entry &entry)
+    void learn(const registered_server &entry)
     {
         knowledge.apply(store_kind::BackendServers, samples::object(entry, ++revision), now);
     }
@@ -150,7 +150,7 @@
         return decision;
     }
 
-    bool isReset(const forwarding_decision &decision, refusal_reason reason)
+    bool isReset(const forwarding_decision &decision, forwarding_refusal reason)
     {
         const auto *reset = std::get_if<reset_flow>(&decision);
         return reset && reset->reason == reason;
@@ -213,7 +213,7 @@
 TEST_CASE_FIXTURE(forwarder_fixture, "unknown route, new flow, is reset at once")
 {
     CHECK(isReset(subject.decide(newFlow(samples::address(0xc6120009, 1)), now),
-                  refusal_reason::NoRoute));
+                  forwarding_refusal::NoRoute));
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture, "unknown route, copy of an opening packet, is dropped")
@@ -231,7 +231,7 @@
     learn(without);
     publish();
     CHECK(isReset(subject.decide(later(first, token, 1, 50, 1), now),
-                  refusal_reason::RouteWithdrawn));
+                  forwarding_refusal::RouteWithdrawn));
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture, "no usable server, new flow, is reset at once")
@@ -240,7 +240,7 @@
         depart(key);
     }
     publish();
-    CHECK(isReset(subject.decide(newFlow(), now), refusal_reason::NoServerUsable));
+    CHECK(isReset(subject.decide(newFlow(), now), forwarding_refusal::NoServerUsable));
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture,
@@ -259,7 +259,7 @@
 {
     const auto [first, token] = openFlow();
     const auto decision = subject.decide(later(first, flow_token{0x1234}, 1, 50, 1), now);
-    CHECK(std::get<drop_packet>(decision).reason == refusal_reason::UnknownToken);
+    CHECK(std::get<drop_packet>(decision).reason == forwarding_refusal::UnknownToken);
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture,
@@ -365,7 +365,7 @@
                   "server silent to others too, idempotent flow, is reset for a retry")
 {
     CHECK(isReset(repeatUntilSilent(samples::feedAddress(), true),
-                  refusal_reason::BackendServerDead));
+                  forwarding_refusal::BackendServerDead));
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture, "server silent to an instance often wrong, flow, is not reset")
@@ -386,7 +386,7 @@
                   "server silent to an instance often right, idempotent flow, is reset")
 {
     CHECK(isReset(repeatUntilSilent(samples::feedAddress(), false),
-                  refusal_reason::BackendServerDead));
+                  forwarding_refusal::BackendServerDead));
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture,
@@ -455,7 +455,7 @@
 TEST_CASE_FIXTURE(forwarder_fixture, "cold servers, warm ones answer, get no flow")
 {
     learn(samples::desiredState(2, 20));
-    backend_server_entry cold = samples::entry(1, "a");
+    registered_server cold = samples::entry(1, "a");
     cold.coldRemaining = 2'000ms;
     learn(cold);
     publish();
@@ -471,7 +471,7 @@
     for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
         depart(key);
     }
-    backend_server_entry cold = samples::entry(7, "a");
+    registered_server cold = samples::entry(7, "a");
     cold.coldRemaining = 2'000ms;
     learn(cold);
     publish();
@@ -489,7 +489,7 @@
 TEST_CASE_FIXTURE(forwarder_fixture, "cold servers without room, last copy, is refused")
 {
     for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
-        backend_server_entry cold = samples::entry(key, "a");
+        registered_server cold = samples::entry(key, "a");
         cold.coldRemaining = 2'000ms;
         learn(cold);
     }
@@ -498,7 +498,7 @@
     CHECK(std::holds_alternative<drop_packet>(
             subject.decide(opening(samples::feedAddress(), 1), now + 200ms)));
     CHECK(isReset(subject.decide(opening(samples::feedAddress(), 2), now + 600ms),
-                  refusal_reason::Overloaded));
+                  forwarding_refusal::Overloaded));
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture, "other domain is cut off, own servers busy, gets no new flow")
@@ -515,7 +515,8 @@
 {
     flow_packet forged = newFlow();
     forged.acknowledges = true;
-    CHECK(std::get<drop_packet>(subject.decide(forged, now)).reason == refusal_reason::Malformed);
+    CHECK(std::get<drop_packet>(subject.decide(forged, now)).reason
+          == forwarding_refusal::Malformed);
 }
 
 TEST_CASE_FIXTURE(forwarder_fixture, "full flow table, new flow, is forwarded all the same")
--- a/tests/forwarding/directory_samples.h
+++ b/tests/forwarding/directory_samples.h
@@ -35,10 +35,10 @@
     return text;
 }
 
-inline backend_server_entry entry(std::uint64_t key, const std::string &domain,
-                                  const std::string &service = "desk")
+inline registered_server entry(std::uint64_t key, const std::string &domain,
+                               const std::string &service = "desk")
 {
-    backend_server_entry made;
+    registered_server made;
     made.key = server_key{key};
     made.service = service;
     made.address = address(0x0a800000 + static_cast<std::uint32_t>(key), 8080);
@@ -48,7 +48,7 @@
     return made;
 }
 
-inline store_object object(const backend_server_entry &made, std::uint64_t revision)
+inline store_object object(const registered_server &made, std::uint64_t revision)
 {
     return {serverName(made.key.value), revision, false, store_value(made), {}};
 }
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -49,7 +49,7 @@
 
 TEST_CASE_FIXTURE(directory_fixture, "server, older revision, changes nothing")
 {
-    backend_server_entry draining = samples::entry(1, "a");
+    registered_server draining = samples::entry(1, "a");
     draining.draining = true;
     subject.apply(store_kind::BackendServers, samples::object(draining, 20), now);
     subject.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 15), now);
@@ -102,7 +102,7 @@
 
 TEST_CASE_FIXTURE(directory_fixture, "draining server, gone during an outage, departs at once")
 {
-    backend_server_entry draining = samples::entry(1, "a");
+    registered_server draining = samples::entry(1, "a");
     draining.draining = true;
     subject.apply(store_kind::BackendServers, samples::object(draining, 20), now);
     subject.onStoreRegained(now);
@@ -169,7 +169,7 @@
 {
     directory_builder peer{{}};
     peer.apply(store_kind::DesiredState, samples::object(samples::desiredState(6), 40), now);
-    backend_server_entry draining = samples::entry(2, "b");
+    registered_server draining = samples::entry(2, "b");
     draining.draining = true;
     peer.apply(store_kind::BackendServers, samples::object(draining, 41), now);
     peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 42), now);
@@ -197,7 +197,7 @@
 
 TEST_CASE_FIXTURE(directory_fixture, "cold server, passed on later, is cold for the rest only")
 {
-    backend_server_entry cold = samples::entry(1, "a");
+    registered_server cold = samples::entry(1, "a");
     cold.coldRemaining = 2'000ms;
     subject.apply(store_kind::BackendServers, samples::object(cold, 20), now);
     const passed_knowledge passed = subject.pass(now + 1'500ms);
--- a/tests/platform/object_codec_test.cpp
+++ b/tests/platform/object_codec_test.cpp
@@ -52,7 +52,7 @@
     REQUIRE(read.objects.size() == 1);
     CHECK(read.revision == 530);
     REQUIRE(read.objects.front().value);
-    const auto &entry = std::get<backend_server_entry>(*read.objects.front().value);
+    const auto &entry = std::get<registered_server>(*read.objects.front().value);
     CHECK(entry.key.value == 0x7f3a91c2);
     CHECK(entry.address.toString() == "10.128.0.9:8080");
     CHECK(entry.failureDomain == "casa-ain");
