Mark flows open in one place; drop flow table functions nobody calls

The record of a newly open flow was filled in twice, two session tests built the caller's next packet twice, and three functions of flow_table had no caller.

Behaviour is unchanged; the tests keep their assertions.

--- a/packages/forwarding/connection/flow_table.cpp
+++ b/packages/forwarding/connection/flow_table.cpp
@@ -52,11 +52,6 @@
     return &record;
 }
 
-void flow_table::remove(const flow_id &flow)
-{
-    m_flows.erase(flow);
-}
-
 std::vector<followed_flow> flow_table::removeIdle(time_point now, duration idleTimeout)
 {
     std::vector<followed_flow> removed;
--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -52,17 +52,11 @@
     /** Adds a record. Returns nullptr if the table is full. */
     followed_flow *add(const flow_id &flow, time_point now);
 
-    /** Removes a flow that has ended in another way than by silence. */
-    void remove(const flow_id &flow);
-
     /** Removes flows that ended or fell silent and returns them. */
     std::vector<followed_flow> removeIdle(time_point now, duration idleTimeout);
 
     std::size_t size() const { return m_flows.size(); }
 
-    auto begin() { return m_flows.begin(); }
-    auto end() { return m_flows.end(); }
-
 private:
     std::size_t m_capacity;
     std::unordered_map<flow_id, followed_flow> m_flows;
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -299,12 +299,7 @@
         if (!record) {
             return;
         }
-        record->state = followed_flow::phase::Open;
-        record->server = server;
-        record->acknowledged = packet.acknowledged;
-        record->nextSequence = packet.sequence;
-        record->deliveredSequence = packet.sequence;
-        m_evidence.addOpen(server, 1);
+        markOpen(packet, *record, server);
     } else if (record->state == followed_flow::phase::Opening) {
         onFirstPacketAfterOpening(packet, *record, server, now);
     }
@@ -330,13 +325,18 @@
             m_evidence.onProgress(server, now);
         }
     }
+    markOpen(packet, record, server);
+    m_observer.onOpened(packet.flow, server, now - record.firstSeen);
+}
+
+void forwarder::markOpen(const flow_packet &packet, followed_flow &record, server_key server)
+{
     record.state = followed_flow::phase::Open;
     record.server = server;
     record.acknowledged = packet.acknowledged;
     record.nextSequence = packet.sequence;
     record.deliveredSequence = packet.sequence;
     m_evidence.addOpen(server, 1);
-    m_observer.onOpened(packet.flow, server, now - record.firstSeen);
 }
 
 void forwarder::followData(const flow_packet &packet, followed_flow &record, time_point now)
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -140,6 +140,7 @@
     void follow(const flow_packet &packet, server_key server, time_point now);
     void onFirstPacketAfterOpening(const flow_packet &packet, followed_flow &record,
                                    server_key server, time_point now);
+    void markOpen(const flow_packet &packet, followed_flow &record, server_key server);
     void followData(const flow_packet &packet, followed_flow &record, time_point now);
     void finish(followed_flow &record);
 
--- a/tests/system/forwarding_session_test.cpp
+++ b/tests/system/forwarding_session_test.cpp
@@ -173,6 +173,16 @@
         return packet;
     }
 
+    /** The caller's next packet, with the token that the server got in an opening datagram. */
+    static std::vector<std::byte> afterOpening(const std::vector<std::byte> &datagram)
+    {
+        const auto opening = std::span(datagram).subspan(platform::ServerPrefixBytes);
+        std::vector<std::byte> later(opening.size());
+        std::copy(opening.begin(), opening.end(), later.begin());
+        later[14] = std::byte{1};
+        return later;
+    }
+
     /** Sends a packet to the instance until the server gets it. */
     std::vector<std::byte> throughInstance(int number, const std::vector<std::byte> &packet)
     {
@@ -211,10 +221,7 @@
     REQUIRE(eventually([] { return readiness(1) == 200 && readiness(2) == 200; }));
     const auto received = throughInstance(1, opening(1));
     REQUIRE_FALSE(received.empty());
-    const auto whole = std::span(received).subspan(platform::ServerPrefixBytes);
-    std::vector<std::byte> later(whole.size());
-    std::copy(whole.begin(), whole.end(), later.begin());
-    later[14] = std::byte{1};
+    const auto later = afterOpening(received);
     CHECK_FALSE(throughInstance(2, later).empty());
 }
 
@@ -261,10 +268,7 @@
     REQUIRE(eventually([] { return readiness(1) == 200 && readiness(2) == 200; }));
     const auto received = throughInstance(1, opening(1));
     REQUIRE_FALSE(received.empty());
-    const auto whole = std::span(received).subspan(platform::ServerPrefixBytes);
-    std::vector<std::byte> later(whole.size());
-    std::copy(whole.begin(), whole.end(), later.begin());
-    later[14] = std::byte{1};
+    const auto later = afterOpening(received);
     REQUIRE_FALSE(throughInstance(1, later).empty());
     CHECK(eventually(
             [] { return metrics(2).find("ebonyway_peer_flows 1\n") != std::string::npos; }));
