Reset unconfirmed only when nothing else points at the own link

It needed to be wrong four times before it asked for a confirmation, and weak instances confirmed each other.

Ruled out: slow servers as the cause (the servers set aside are spread over the whole service, the instances are always the same three).

Change: an answer that comes after the next offer counts as a disproof; while more than one other server is suspected, a confirmation is needed; an instance that is often wrong confirms nothing.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -86,7 +86,7 @@
             continue;
         }
         loads.push_back(
-                {key, state.open + state.opening, m_evidence.looksSilent(key, now) ? 1U : 0U});
+                {key, state.open + state.opening, m_evidence.confirmsSilence(key, now) ? 1U : 0U});
     }
     return loads;
 }
@@ -320,9 +320,9 @@
         if (record.server == server) {
             m_evidence.onAnswer(server, now);
         } else {
-            // An earlier offer was answered late; nothing is known about the last one.
+            // Nothing is known about the last offer.
             m_evidence.onWithdrawnOffer(record.server);
-            m_evidence.onProgress(server, now);
+            m_evidence.onLateAnswer(server, now);
         }
     }
     markOpen(packet, record, server);
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t MostDisproofs = 3;
 constexpr duration DisproofLifetime = 5s;
 
+// While more other servers than this are suspected, the link of this instance may be the cause.
+constexpr std::size_t MostOtherSuspects = 1;
+
 // Callers repeat an opening packet after this time; an answer that takes longer is none.
 constexpr duration CallerRepeatTime = 200ms;
 
@@ -99,10 +102,7 @@
     m_lastProgress = now;
     state.silences = 0;
     if (std::exchange(state.suspicions, 0) > 0) {
-        m_disproved.push_back(now);
-    }
-    while (!m_disproved.empty() && now - m_disproved.front() > DisproofLifetime) {
-        m_disproved.pop_front();
+        noteDisproof(now);
     }
     const auto domain = m_domainOf.find(server);
     if (domain != m_domainOf.end()) {
@@ -120,6 +120,15 @@
     }
 }
 
+void server_evidence::onLateAnswer(server_key server, time_point now)
+{
+    if (condition(server).suspicions == 0) {
+        // Otherwise its progress counts as the disproof.
+        noteDisproof(now);
+    }
+    onProgress(server, now);
+}
+
 void server_evidence::onSilence(server_key server, time_point now)
 {
     suspect(server, now);
@@ -252,14 +261,48 @@
     m_silentDomains = std::move(domains);
 }
 
+void server_evidence::noteDisproof(time_point now)
+{
+    m_disproved.push_back(now);
+    if (m_disproved.size() > MostDisproofs + 1) {
+        m_disproved.pop_front();
+    }
+}
+
+bool server_evidence::isOftenWrong(time_point now) const
+{
+    return m_disproved.size() > MostDisproofs && now - m_disproved.front() <= DisproofLifetime;
+}
+
+std::size_t server_evidence::otherSuspects(server_key server, time_point now) const
+{
+    std::size_t count = 0;
+    for (const auto &[key, state] : m_conditions) {
+        if (key == server || state.suspicions == 0
+            || now - state.lastSuspicion > SuspicionLifetime) {
+            continue;
+        }
+        ++count;
+    }
+    return count;
+}
+
+bool server_evidence::confirmsSilence(server_key server, time_point now) const
+{
+    return !isOftenWrong(now) && looksSilent(server, now);
+}
+
 bool server_evidence::isSilent(server_key server, time_point now) const
 {
     if (!looksSilent(server, now)) {
         return false;
     }
     const auto domain = m_domainOf.find(server);
-    return m_disproved.size() <= MostDisproofs || condition(server).peersSuspicious > 0
-           || (domain != m_domainOf.end() && m_silentDomains.contains(domain->second));
+    if (condition(server).peersSuspicious > 0
+        || (domain != m_domainOf.end() && m_silentDomains.contains(domain->second))) {
+        return true;
+    }
+    return !isOftenWrong(now) && otherSuspects(server, now) <= MostOtherSuspects;
 }
 
 void server_evidence::setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious)
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -56,6 +56,11 @@
     void onAnswer(server_key server, time_point now);
     /** An open flow of the server has made progress. */
     void onProgress(server_key server, time_point now);
+    /**
+     * An offer was answered after it had gone to another server: the server serves, and what was
+     * held against it came from a slow link or a slow instance.
+     */
+    void onLateAnswer(server_key server, time_point now);
     /** An offer stayed unanswered until its caller repeated it or gave up. */
     void onSilence(server_key server, time_point now);
     /**
@@ -83,10 +88,15 @@
      * link of this instance can look the same.
      */
     bool looksSilent(server_key server, time_point now) const;
+    /**
+     * Returns whether other instances may rely on looksSilent(): this instance was hardly ever
+     * wrong lately.
+     */
+    bool confirmsSilence(server_key server, time_point now) const;
     /**
      * Returns whether the server has crashed or cannot be reached from here: it looks silent, and
-     * so it does to another instance, or its whole failure domain is silent, or this instance was
-     * hardly ever wrong lately.
+     * so it does to another instance, or its whole failure domain is silent, or this instance has
+     * no reason to doubt itself.
      */
     bool isSilent(server_key server, time_point now) const;
     const server_condition &condition(server_key server) const;
@@ -111,13 +121,16 @@
     void suspect(server_key server, time_point now);
     void setAside(server_key server, server_condition &state, time_point now);
     bool isDomainSilent(server_key server, time_point now) const;
+    void noteDisproof(time_point now);
+    bool isOftenWrong(time_point now) const;
+    std::size_t otherSuspects(server_key server, time_point now) const;
 
     std::unordered_map<server_key, std::string> m_domainOf;
     std::unordered_map<std::string, domain_condition> m_domains;
     std::deque<late_offer> m_lateOffers; ///< Oldest first.
     std::set<std::string> m_silentDomains;
     time_point m_lastProgress; ///< Of any server.
-    std::deque<time_point> m_disproved; ///< When a suspected server made progress after all.
+    std::deque<time_point> m_disproved; ///< When a suspected or late server answered after all.
     std::vector<trust_change> m_changes;
 };
 
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -382,6 +382,72 @@
     CHECK(std::holds_alternative<forward_packet>(repeatUntilSilent(samples::feedAddress(), false)));
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "several servers suspected at once, one looks silent, needs a confirmation")
+{
+    // An instance whose link is full loses packets to servers that all serve. On a grown site it
+    // reset a flow before it had been wrong often enough to know.
+    std::map<std::uint64_t, std::pair<flow_packet, flow_token>> flows;
+    while (flows.size() < 3) {
+        auto opened = openFlow();
+        flows[observer.placements.back().server.value] = opened;
+    }
+    for (const auto pause : {0ms, 200ms, 400ms, 800ms}) {
+        now += pause;
+        subject.decide(later(flows[1].first, flows[1].second, 1, 100, 1), now);
+        if (pause <= 200ms) {
+            subject.decide(later(flows[2].first, flows[2].second, 1, 100, 1), now);
+            subject.decide(later(flows[3].first, flows[3].second, 1, 100, 1), now);
+        }
+    }
+    depart(2);
+    depart(3);
+    publish();
+    answerElsewhere();
+    const flow_packet repeat = later(flows[1].first, flows[1].second, 1, 100, 1);
+    REQUIRE(subject.evidence().looksSilent(server_key{1}, now));
+    CHECK(serverOf(subject.decide(repeat, now)) == server_key{1});
+    subject.setPeerLoads({{server_key{1}, 1, 1}});
+    CHECK(isReset(subject.decide(repeat, now), forwarding_refusal::BackendServerDead));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "answers that come after the next offer, several, make the instance often wrong")
+{
+    for (int i = 0; i < 4; ++i) {
+        const flow_packet first = newFlow();
+        const auto target = std::get<forward_packet>(subject.decide(first, now));
+        REQUIRE(checkOffers(100ms).size() == 1);
+        subject.decide(later(first, target.token, 1, 0, 1), now);
+    }
+    CHECK(std::holds_alternative<forward_packet>(repeatUntilSilent(samples::feedAddress(), false)));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "instance often wrong, silent server, confirms nothing")
+{
+    const auto confirms = [this](server_key server) {
+        for (const peer_server_load &load : subject.loads(now)) {
+            if (load.server == server) {
+                return load.suspicious > 0;
+            }
+        }
+        return false;
+    };
+    repeatUntilSilent(samples::orderAddress(), false);
+    const server_key silent = observer.placements.front().server;
+    REQUIRE(subject.evidence().looksSilent(silent, now));
+    CHECK(confirms(silent));
+    for (int i = 0; i < 4; ++i) {
+        const auto [first, token] = openFlow();
+        subject.decide(later(first, token, 1, 100, 1), now);
+        now += 200ms;
+        subject.decide(later(first, token, 1, 100, 1), now);
+        subject.decide(later(first, token, 101, 0, 500), now);
+    }
+    REQUIRE(subject.evidence().looksSilent(silent, now));
+    CHECK_FALSE(confirms(silent));
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture,
                   "server silent to an instance often right, idempotent flow, is reset")
 {
