Separate an instance's control decisions from its sockets

Cause: readiness, pulls between instances, silent domains and planned stops were decided inside the process edge, where only sessions with real sockets could test them. An emulator needs the same code under virtual time.

Change: instance_control holds these decisions behind control_port; the daemon carries them out. No behaviour changes, except that a knowledge pull that fails now logs why.

--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -3,11 +3,8 @@
 #include "forwarding/edge/frame_adapter.h"
 #include "forwarding/edge/traffic_loop.h"
 #include "forwarding/process/forwarding_settings.h"
+#include "forwarding/process/instance_control.h"
 #include "forwarding/process/pause_detector.h"
-#include "forwarding/process/peer_directory.h"
-#include "forwarding/process/planned_stop.h"
-#include "forwarding/process/store_follower.h"
-#include "forwarding/version/directory_builder.h"
 #include "io/datagram_socket.h"
 #include "io/http_client.h"
 #include "io/http_listener.h"
@@ -17,10 +14,7 @@
 
 #include <atomic>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
-#include <vector>
 
 namespace ebonyway {
 
@@ -28,7 +22,9 @@
  * An instance that forwards flows by tokens. The control thread, which calls run(), follows the
  * store and answers status pages; the traffic thread forwards packets.
  */
-class forwarding_daemon : private datagram_receiver
+class forwarding_daemon
+    : private datagram_receiver
+    , private control_port
 {
 public:
     /** `settingsFile` is read again when it changes. */
@@ -48,56 +44,42 @@
 private:
     void onDatagram(int tag, std::span<const std::byte> bytes, const endpoint &from) override;
 
+    void startStoreCall(const store_call &call) override { m_store->start(call); }
+    void cancelStoreCall(store_kind kind) override { m_store->cancel(kind); }
+    void sendHeartbeat(const peer_message &message, std::span<const endpoint> targets) override;
+    void pullKnowledge(const endpoint &from, time_point now) override;
+    bool isPulling() const override { return m_peerClient && m_peerClient->isBusy(); }
+    void publish(std::shared_ptr<const directory> known) override;
+    void publishPeerView(peer_view view) override;
+
     void tick();
-    void tickPeers(time_point now);
-    void sendHeartbeat(bool afterChange, time_point now);
-    void pullKnowledge(time_point now);
     void onKnowledge(const endpoint &from, const result<http_response> &outcome);
-    void followStore(time_point now);
     void checkPause(time_point now);
-    void checkSettings(time_point now);
-    void advanceStop(time_point now);
-    void onStoreAnswer(store_kind kind, const store_answer &answer);
-    void publishKnowledge();
-    void logChanges();
-
-    void logAndPublish(const std::vector<directory_change> &changes);
+    void checkSettings();
 
     http_page knowledgePage(const std::string &path) const;
     http_page readinessPage(const std::string &path) const;
     http_page metricsPage(const std::string &path) const;
-    bool isReady() const;
-    void checkReachability(time_point now);
 
     const frame_adapter &m_frame;
     forwarding_settings m_options;
     std::string m_settingsFile;
     bounded_event_log m_log;
     metrics_registry m_metrics;
-    directory_builder m_knowledge;
-    store_follower m_follower;
-    planned_stop m_stop;
+    instance_control m_state;
     pause_detector m_pauses;
     reactor_thread m_control;
     http_listener m_readiness;
     http_listener m_metricsListener;
     std::unique_ptr<store_port> m_store;
-    peer_directory m_peers;
     datagram_socket m_peerSocket;
     http_listener m_peerPages;
     std::unique_ptr<http_client> m_peerClient; ///< Of the last instance that knew more.
     endpoint m_peerClientAddress;
-    std::optional<time_point> m_behindSince; ///< Other instances know more than this one.
-    std::vector<peer_server_load> m_loads;
-    time_point m_nextHeartbeat;
     traffic_loop m_traffic;
 
     std::atomic<bool> m_stopRequested = false;
     std::atomic<bool> m_reloadRequested = false;
-    std::shared_ptr<const directory> m_known; ///< What the traffic thread was given last.
-    std::set<std::string> m_silentDomains;
-    bool m_canServe = true;
-    time_point m_startedAt;
     time_point m_nextSlowTick;
 };
 
--- a/packages/forwarding/edge/traffic_loop.h
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -4,27 +4,18 @@
 #include "forwarding/edge/decision_log.h"
 #include "forwarding/edge/forwarding_counters.h"
 #include "forwarding/edge/frame_adapter.h"
+#include "forwarding/process/instance_control.h"
 #include "io/datagram_socket.h"
 #include "io/reactor_thread.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <set>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace ebonyway {
 
-/** What the control thread has learned from other instances. */
-struct peer_view
-{
-    std::vector<peer_server_load> loads; ///< Of all others together.
-    std::size_t instances = 1; ///< That share the rates of cold servers.
-    std::set<std::string> silentDomains;
-};
-
 /** The traffic thread: receives callers' packets and carries out the forwarder's decisions. */
 class traffic_loop : private datagram_receiver
 {
--- /dev/null
+++ b/packages/forwarding/process/instance_control.cpp
@@ -0,0 +1,242 @@
+#include "forwarding/process/instance_control.h"
+
+#include <chrono>
+#include <utility>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Three missed heartbeats make an instance count as silent within a second.
+constexpr duration HeartbeatInterval = 250ms;
+
+// The store tells all its readers of a change within milliseconds. An instance that still knows
+// less than others after this long asks them.
+constexpr duration LongestLag = 500ms;
+
+// Lapsed entries depart with seconds of grace, so twice a second is often enough.
+constexpr duration ExpiryInterval = 500ms;
+
+std::int64_t toMillis(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+} // namespace
+
+instance_control::instance_control(const instance_identity &identity, const instance_times &times,
+                                   control_port &port, event_log &log)
+    : m_port(port)
+    , m_log(log)
+    , m_knowledge(directory_times{times.serverHeartbeat})
+    , m_follower(m_knowledge, identity.seed)
+    , m_peers({identity.name, identity.failureDomain, identity.peers, identity.boot, 0, false,
+               false},
+              identity.seed)
+    , m_stop(times.stopGrace)
+{ }
+
+void instance_control::start(const std::vector<endpoint> &seeds, time_point now)
+{
+    m_startedAt = now;
+    m_peers.setSeeds(seeds);
+    sendHeartbeat(true, now);
+    followStore(now);
+}
+
+void instance_control::tick(time_point now)
+{
+    tickPeers(now);
+    followStore(now);
+    logStoreEvents();
+    logAndPublish(m_follower.takeChanges(), now);
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = now + ExpiryInterval;
+    const auto expired = m_knowledge.expire(now);
+    if (!expired.empty()) {
+        logAndPublish(expired, now);
+    }
+}
+
+void instance_control::tickPeers(time_point now)
+{
+    m_peers.setStoreAnswers(m_known && m_follower.storeAnswers());
+    // Until it has read the store once, an instance does not leave the reading to others.
+    m_follower.setReading(!m_known || m_peers.isReader(now));
+    pullKnowledge(now);
+    if (now < m_nextHeartbeat) {
+        return;
+    }
+    m_nextHeartbeat = now + HeartbeatInterval;
+    sendHeartbeat(false, now);
+    checkReachability(now);
+    m_port.publishPeerView({m_peers.peerLoads(now), m_peers.liveCount(now), m_silentDomains});
+}
+
+void instance_control::sendHeartbeat(bool afterChange, time_point now)
+{
+    const peer_message message = m_peers.heartbeat(m_knowledge.revisions(), m_loads);
+    m_port.sendHeartbeat(message, m_peers.targets(afterChange, now));
+}
+
+void instance_control::onPeerMessage(const peer_message &message, time_point now)
+{
+    m_peers.onMessage(message, now);
+    pullKnowledge(now);
+}
+
+void instance_control::pullKnowledge(time_point now)
+{
+    if (m_port.isPulling()) {
+        return;
+    }
+    const auto source = m_peers.betterInformed(m_knowledge.revisions(), now);
+    if (!source) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince) {
+        m_behindSince = now;
+    }
+    const bool storeWillTell = m_follower.isReading() && m_follower.storeAnswers() && m_known;
+    if (storeWillTell && now - *m_behindSince < LongestLag) {
+        return;
+    }
+    m_port.pullKnowledge(*source, now);
+}
+
+void instance_control::onKnowledge(const endpoint &from, const result<passed_knowledge> &outcome,
+                                   time_point now)
+{
+    if (!isOk(outcome)) {
+        m_log.write({log_level::Warn,
+                     "knowledge_not_pulled",
+                     {{"from", from.toString()}, {"detail", errorOf(outcome).message}}});
+        return;
+    }
+    const auto changes = m_knowledge.integrate(valueOf(outcome), now);
+    if (!changes.empty() && m_follower.isReading() && m_known) {
+        // The store should have told this instance first, so its watches may be dead.
+        m_log.write({log_level::Warn, "store_watch_lags", {{"from", from.toString()}}});
+        m_follower.renew(now);
+    }
+    logAndPublish(changes, now);
+}
+
+std::optional<passed_knowledge> instance_control::pass(time_point now) const
+{
+    return m_knowledge.isComplete() ? std::optional(m_knowledge.pass(now)) : std::nullopt;
+}
+
+void instance_control::followStore(time_point now)
+{
+    const store_step step = m_follower.next(now);
+    for (const store_kind kind : step.cancels) {
+        m_port.cancelStoreCall(kind);
+    }
+    for (const store_call &call : step.calls) {
+        m_port.startStoreCall(call);
+    }
+}
+
+void instance_control::onStoreAnswer(store_kind kind, const store_answer &answer, time_point now)
+{
+    m_follower.onAnswer(kind, answer, now);
+    logStoreEvents();
+    logAndPublish(m_follower.takeChanges(), now);
+    followStore(now);
+}
+
+void instance_control::logStoreEvents()
+{
+    for (const store_event &event : m_follower.takeEvents()) {
+        m_log.write({event.event == "store_lost" ? log_level::Warn : log_level::Info,
+                     event.event,
+                     {{"kind", std::string(storeKindName(event.kind))},
+                      {"detail", event.detail},
+                      {"revision", event.revision},
+                      {"outage_ms", toMillis(event.after)}}});
+    }
+}
+
+void instance_control::logAndPublish(const std::vector<directory_change> &changes, time_point now)
+{
+    for (const directory_change &change : changes) {
+        m_log.write({log_level::Info,
+                     change.event,
+                     {{"name", change.subject},
+                      {"revision", change.revision},
+                      {"detail", change.detail}}});
+    }
+    if (changes.empty() && (m_known || !m_knowledge.isComplete())) {
+        return;
+    }
+    publishKnowledge(now);
+    sendHeartbeat(true, now);
+}
+
+void instance_control::publishKnowledge(time_point now)
+{
+    if (!m_knowledge.isComplete()) {
+        return;
+    }
+    const bool isFirst = !m_known;
+    m_known = m_knowledge.snapshot();
+    m_port.publish(m_known);
+    checkReachability(now);
+    if (isFirst) {
+        m_log.write({log_level::Info,
+                     "ready",
+                     {{"after_ms", toMillis(now - m_startedAt)},
+                      {"desired_version", m_known->routes().version},
+                      {"backend_servers", std::uint64_t{m_known->servers().size()}}}});
+    }
+}
+
+void instance_control::checkReachability(time_point now)
+{
+    std::set<std::string> silent = m_peers.silentDomains(now);
+    if (silent != m_silentDomains) {
+        m_silentDomains = std::move(silent);
+        std::string names;
+        for (const std::string &domain : m_silentDomains) {
+            names += (names.empty() ? "" : ",") + domain;
+        }
+        m_log.write({log_level::Warn, "silent_domains_changed", {{"domains", names}}});
+    }
+    // Without a silent domain there may be no server at all; other instances could not help then.
+    const bool serves = !m_known || m_silentDomains.empty() || canServe(*m_known, m_silentDomains);
+    if (serves != m_canServe) {
+        m_canServe = serves;
+        m_log.write({log_level::Warn,
+                     serves ? "servers_in_reach" : "no_server_in_reach",
+                     {{"directory", m_known->serial()}}});
+    }
+}
+
+void instance_control::requestStop(time_point now)
+{
+    if (m_stop.isRequested()) {
+        return;
+    }
+    m_stop.request(now);
+    m_peers.setLeaving();
+    sendHeartbeat(true, now);
+    m_log.write({log_level::Info, "stopping", {}});
+}
+
+bool instance_control::mayExit(time_point now, time_point lastPacket) const
+{
+    return m_stop.mayExit(now, lastPacket);
+}
+
+bool instance_control::isReady() const
+{
+    return m_known && m_canServe && !m_stop.isRequested();
+}
+
+} // namespace ebonyway
