Take no server for silent that answers others or is as slow as usual; add ebonyway experiment

Change: heartbeats say how long ago a server answered; an answer after the first sign contradicts a verdict for 1.5 s.

Measured: three unit tests that failed before.

--- a/packages/ebonyway/command_options.cpp
+++ b/packages/ebonyway/command_options.cpp
@@ -18,7 +18,7 @@
     const char *details;
 };
 
-constexpr std::array<command_help, 7> Commands{{
+constexpr std::array<command_help, 8> Commands{{
         {"check", "FILE", "Checks a release note and shows its effect",
          "Reads the release note in FILE, checks it whole against what is in force, and says in "
          "plain\n"
@@ -45,6 +45,9 @@
          "error budget, and why.\n"
          "  --instance ADDRESS:PORT   Ask this instance's status address (repeatable)\n"
          "  --svg FILE                Also write the report as an image\n"},
+        {"experiment", "FILE", "Plays a scenario under virtual time",
+         "Plays the scenario in FILE and prints how callers were served. See `ebonyway experiment "
+         "--help`.\n"},
 }};
 
 constexpr const char *CommonOptions =
--- a/packages/ebonyway/main.cpp
+++ b/packages/ebonyway/main.cpp
@@ -1,4 +1,5 @@
 #include "ebonyway/command_options.h"
+#include "ebonyway/experiment_command.h"
 #include "ebonyway/operator_commands.h"
 #include "process/edge/http_platform_store.h"
 
@@ -58,6 +59,9 @@
 
 command_outcome runCommand(const std::vector<std::string> &words)
 {
+    if (!words.empty() && words.front() == "experiment") {
+        return runExperimentCommand({words.begin() + 1, words.end()}, makeEdges());
+    }
     const char *platform = std::getenv("EBONYWAY_PLATFORM");
     const auto options = parseCommandLine(words, platform == nullptr ? "" : platform);
     if (!isOk(options)) {
--- a/packages/emulator/emulated_caller.cpp
+++ b/packages/emulator/emulated_caller.cpp
@@ -205,6 +205,14 @@
     case server_packet::content::Answer:
         onAnswer(packet.flow, state, packet);
         return;
+    case server_packet::content::NotRun:
+        if (state.waiting && packet.attempt == state.attempt) {
+            // Any request may be repeated that has not run.
+            state.opened = false;
+            sendControl(packet.flow, state, true);
+            onFailure(packet.flow);
+        }
+        return;
     case server_packet::content::Reset:
         onReset(packet.flow);
         return;
--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -28,17 +28,18 @@
 
 emulated_instance::emulated_instance(place where, std::uint64_t boot, std::uint64_t seed,
                                      event_queue &queue, emulated_store &store, instance_port &port,
-                                     event_log &log, const std::set<omitted_mechanism> &omitted)
+                                     event_log *log, const std::set<omitted_mechanism> &omitted)
     : m_where(std::move(where))
     , m_boot(boot)
     , m_queue(queue)
     , m_store(store)
     , m_port(port)
     , m_omitted(omitted)
+    , m_log("instance-" + std::to_string(m_where.id), queue, log)
     , m_control({"instance-" + std::to_string(m_where.id), m_where.failureDomain,
                  addressOf(m_where.id), boot, seed},
-                {}, *this, log)
-    , m_forwarder({m_where.failureDomain, seed, FlowCapacity}, *this)
+                {}, *this, m_log)
+    , m_forwarder({m_where.failureDomain, seed, FlowCapacity}, m_log.observer())
 { }
 
 void emulated_instance::start(const std::vector<endpoint> &seeds)
@@ -99,7 +100,7 @@
     m_forwarder.tick(now);
     std::erase_if(m_openingPackets,
                   [this](const auto &item) { return !m_forwarder.isOpening(item.first); });
-    m_control.setLoads(m_forwarder.loads(now));
+    m_control.setLoads(m_forwarder.loads(now), now);
 }
 
 void emulated_instance::onPacket(const caller_packet &packet)
@@ -223,7 +224,7 @@
             view.loads.push_back({own.server, 0, 1});
         }
     }
-    m_forwarder.setPeerLoads(view.loads);
+    m_forwarder.setPeerLoads(view.loads, m_queue.now());
     m_forwarder.setInstances(omits(omitted_mechanism::SharedColdRate) ? 1 : view.instances);
     m_forwarder.setSilentDomains(std::move(view.silentDomains));
 }
--- a/packages/emulator/emulated_instance.h
+++ b/packages/emulator/emulated_instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "emulator/emulated_instance_log.h"
 #include "emulator/emulated_network.h"
 #include "emulator/emulated_packet.h"
 #include "emulator/emulated_store.h"
@@ -41,13 +42,12 @@
 };
 
 /** One process of an instance under virtual time, with the product's own decisions. */
-class emulated_instance
-    : private control_port
-    , private forwarding_observer
+class emulated_instance : private control_port
 {
 public:
+    /** `log` receives the instance's lines; nullptr discards them. */
     emulated_instance(place where, std::uint64_t boot, std::uint64_t seed, event_queue &queue,
-                      emulated_store &store, instance_port &port, event_log &log,
+                      emulated_store &store, instance_port &port, event_log *log,
                       const std::set<omitted_mechanism> &omitted);
 
     void start(const std::vector<endpoint> &seeds);
@@ -81,11 +81,6 @@
     void publish(std::shared_ptr<const directory> known) override { m_forwarder.adopt(known); }
     void publishPeerView(peer_view view) override;
 
-    void onPlacement(const placement_record &) override { }
-    void onRefusal(const refusal_record &) override { }
-    void onTrustChange(const trust_change &) override { }
-    void onOpened(const flow_id &, server_key, duration) override { }
-
     /** Runs the action now, or when the process runs again. */
     void whenRunning(event_queue::action what);
     void tickTraffic();
@@ -99,6 +94,7 @@
     emulated_store &m_store;
     instance_port &m_port;
     const std::set<omitted_mechanism> &m_omitted;
+    emulated_instance_log m_log;
     instance_control m_control;
     forwarder m_forwarder;
     bool m_alive = true;
--- a/packages/emulator/emulated_packet.h
+++ b/packages/emulator/emulated_packet.h
@@ -36,6 +36,7 @@
         Accepted, ///< Answers an opening packet.
         Received, ///< Acknowledges data.
         Answer, ///< The whole answer to a request.
+        NotRun, ///< The server is full and has not run the request.
         Reset, ///< The server does not hold the flow.
     };
 
--- a/packages/emulator/emulated_server.cpp
+++ b/packages/emulator/emulated_server.cpp
@@ -9,6 +9,9 @@
 // A server that has just started works this much slower.
 constexpr std::uint32_t ColdFactor = 6;
 
+// Requests that wait for a slot, for each slot.
+constexpr std::size_t QueuePerSlot = 2;
+
 } // namespace
 
 emulated_server::emulated_server(registered_server entry, duration workTime)
@@ -48,6 +51,9 @@
         return reaction;
     }
     if (packet.header.opens) {
+        if (isFull()) {
+            return reaction;
+        }
         m_offered[flow] = packet.header.token;
         reaction.packets.push_back(reply(packet, server_packet::content::Accepted));
         return reaction;
@@ -75,22 +81,41 @@
     if (packet.header.sequence == held.received) {
         held.received += packet.header.dataLength;
     }
-    server_packet received = reply(packet, server_packet::content::Received);
-    received.acknowledged = held.received;
     if (held.received < packet.requestEnd) {
+        server_packet received = reply(packet, server_packet::content::Received);
+        received.acknowledged = held.received;
         reaction.packets.push_back(received);
         return reaction;
     }
-    if (held.queued != packet.attempt) {
-        held.queued = packet.attempt;
-        held.lastAnswer.reset();
-        m_queue.push_back(reply(packet, server_packet::content::Answer));
-        reaction.began = packet.attempt;
+    server_reaction answered = onRequest(packet, held);
+    answered.opened = reaction.opened;
+    return answered;
+}
+
+bool emulated_server::isFull() const
+{
+    return m_queue.size() >= m_entry.slots * QueuePerSlot;
+}
+
+server_reaction emulated_server::onRequest(const caller_packet &packet, held_flow &held)
+{
+    server_reaction reaction;
+    if (held.queued == packet.attempt) {
+        if (held.lastAnswer) {
+            reaction.packets.push_back(*held.lastAnswer);
+        }
         return reaction;
     }
-    if (held.lastAnswer) {
+    held.queued = packet.attempt;
+    held.lastAnswer.reset();
+    if (isFull()) {
+        held.lastAnswer = reply(packet, server_packet::content::NotRun);
+        held.lastAnswer->acknowledged = held.received;
         reaction.packets.push_back(*held.lastAnswer);
+        return reaction;
     }
+    m_queue.push_back(reply(packet, server_packet::content::Answer));
+    reaction.began = packet.attempt;
     return reaction;
 }
 
--- a/packages/emulator/emulated_server.h
+++ b/packages/emulator/emulated_server.h
@@ -72,6 +72,8 @@
         std::optional<server_packet> lastAnswer;
     };
 
+    bool isFull() const;
+    server_reaction onRequest(const caller_packet &packet, held_flow &held);
     server_packet reply(const caller_packet &packet, server_packet::content what) const;
 
     registered_server m_entry;
--- a/packages/emulator/emulation.cpp
+++ b/packages/emulator/emulation.cpp
@@ -22,12 +22,6 @@
 constexpr std::uint16_t ServerPort = 8'080;
 constexpr std::chrono::milliseconds IdleTimeout{15'000};
 
-class discarding_log : public event_log
-{
-public:
-    void write(const log_line &) override { }
-};
-
 const place CallersPlace{place_kind::Callers, 0, ""};
 
 } // namespace
@@ -42,12 +36,7 @@
     , m_monitor(plan, m_queue.clock())
     , m_router(plan.hash)
     , m_callers(plan, m_queue, m_callerRandom, *this)
-    , m_noLog(std::make_unique<discarding_log>())
-{
-    if (!m_options.log) {
-        m_options.log = m_noLog.get();
-    }
-}
+{ }
 
 emulation::~emulation() = default;
 
@@ -143,7 +132,7 @@
     instance_port &port = *this;
     m_processes.push_back(std::make_unique<emulated_instance>(
             place{place_kind::Instance, id, domain}, ++m_boots[id], m_random.next(), m_queue,
-            m_store, port, *m_options.log, m_options.omitted));
+            m_store, port, m_options.log, m_options.omitted));
     m_instances[id] = m_processes.back().get();
     std::vector<endpoint> seeds;
     for (std::uint64_t seed = 1; seed <= SeedInstances; ++seed) {
--- a/packages/emulator/emulation.h
+++ b/packages/emulator/emulation.h
@@ -102,7 +102,6 @@
     rule_monitor m_monitor;
     emulated_router m_router;
     emulated_callers m_callers;
-    std::unique_ptr<event_log> m_noLog;
 
     std::vector<std::unique_ptr<emulated_instance>> m_processes; ///< All that ever ran.
     std::map<std::uint64_t, emulated_instance *> m_instances; ///< The last process of each.
--- a/packages/emulator/emulation_events.cpp
+++ b/packages/emulator/emulation_events.cpp
@@ -185,6 +185,9 @@
 void emulation::reviveServer(server_key key)
 {
     emulated_server &server = m_servers.at(key);
+    if (server.mood() != server_mood::Crashed) {
+        return;
+    }
     m_monitor.noteServerDisturbed(key, m_queue.now());
     server.setMood(server_mood::Serving);
     registered_server &entry = server.entry();
@@ -197,11 +200,15 @@
 void emulation::drainServer(server_key key)
 {
     emulated_server &server = m_servers.at(key);
+    if (server.mood() != server_mood::Serving) {
+        return;
+    }
     server.setMood(server_mood::Draining);
     server.entry().draining = true;
     m_store.put(store_kind::BackendServers, storeName(key), server.entry());
     m_monitor.noteDraining(key);
     m_queue.after(DrainTime, [this, key] {
+        // A server that has crashed meanwhile does not come back either.
         m_store.remove(store_kind::BackendServers, storeName(key));
         m_queue.after(DrainTime, [this, key] {
             m_servers.at(key).setMood(server_mood::Departed);
--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -31,6 +31,7 @@
     std::uint32_t deliveredSequence = 0; ///< Up to here the server must have received the data.
     std::uint32_t acknowledged = 0; ///< Last acknowledgement of the caller.
     time_point offeredAt; ///< Of the last opening packet.
+    time_point requestedAt; ///< If busy: when the caller began to send the request.
     time_point lastRepeat; ///< When the caller last began to repeat packets.
     time_point firstSeen;
     time_point lastSeen;
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -26,6 +26,9 @@
 // Offers are checked every 20 ms; a longer gap shows that the instance was short of processor time.
 constexpr duration LongestCheckGap = 50ms;
 
+// Other instances hear for this long that a server has answered; suspicions are as old at most.
+constexpr duration AnswerReportTime = 2s;
+
 /** Compares sequence numbers, which wrap around. */
 bool isAfter(std::uint32_t left, std::uint32_t right)
 {
@@ -60,15 +63,17 @@
     m_coldStarts.setInstances(count);
 }
 
-void forwarder::setPeerLoads(const std::vector<peer_server_load> &loads)
+void forwarder::setPeerLoads(const std::vector<peer_server_load> &loads, time_point now)
 {
     for (const auto &[key, state] : m_evidence.all()) {
         if (state.peersOpen + state.peersSuspicious > 0) {
-            m_evidence.setPeerLoad(key, 0, 0);
+            m_evidence.setPeerLoad(key, 0, 0, {});
         }
     }
     for (const peer_server_load &load : loads) {
-        m_evidence.setPeerLoad(load.server, load.open, load.suspicious);
+        const bool answered = load.answeredAgo < peer_server_load::NeverAnswered;
+        m_evidence.setPeerLoad(load.server, load.open, load.suspicious,
+                               answered ? now - load.answeredAgo : time_point{});
     }
 }
 
@@ -82,11 +87,15 @@
 {
     std::vector<peer_server_load> loads;
     for (const auto &[key, state] : m_evidence.all()) {
-        if (state.open + state.opening == 0) {
+        const duration answeredAgo = now - state.lastAnswer;
+        const bool answered = answeredAgo < AnswerReportTime;
+        if (state.open + state.opening == 0 && !answered) {
             continue;
         }
-        loads.push_back(
-                {key, state.open + state.opening, m_evidence.confirmsSilence(key, now) ? 1U : 0U});
+        loads.push_back({key, state.open + state.opening,
+                         m_evidence.confirmsSilence(key, now) ? 1U : 0U,
+                         answered ? std::chrono::floor<std::chrono::milliseconds>(answeredAgo)
+                                  : peer_server_load::NeverAnswered});
     }
     return loads;
 }
@@ -347,6 +356,7 @@
         if (record.busy) {
             record.busy = false;
             m_evidence.addBusy(record.server, -1);
+            m_evidence.onAnswerTime(record.server, now - record.requestedAt);
         }
     }
     if (packet.dataLength == 0) {
@@ -371,6 +381,7 @@
     }
     if (!record.busy) {
         record.busy = true;
+        record.requestedAt = now;
         m_evidence.addBusy(record.server, 1);
     }
 }
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -7,7 +7,8 @@
 #include "forwarding/request/forwarding_decision.h"
 #include "forwarding/version/directory.h"
 
-#include <array>
+#include <algorithm>
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <set>
@@ -64,11 +65,17 @@
     server_key server;
     std::uint32_t open = 0; ///< Flows, with those that have not been answered yet.
     std::uint32_t suspicious = 0; ///< Instances for which the server looks silent.
+    std::chrono::milliseconds answeredAgo = NeverAnswered; ///< Since it last answered a caller.
+
+    /** Stands for no answer, or one that is too long ago to matter. */
+    static constexpr std::chrono::milliseconds NeverAnswered{0xffff};
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, open, suspicious);
+        auto age = static_cast<std::uint16_t>(std::min(answeredAgo, NeverAnswered).count());
+        archive(server, open, suspicious, age);
+        answeredAgo = std::chrono::milliseconds(age);
     }
 };
 
@@ -113,7 +120,7 @@
     /** Sets how many instances share the rates of cold backend servers. */
     void setInstances(std::size_t count);
     /** Sets what all other instances together send to each backend server and think of it. */
-    void setPeerLoads(const std::vector<peer_server_load> &loads);
+    void setPeerLoads(const std::vector<peer_server_load> &loads, time_point now);
 
     /** Sets the failure domains whose instances are all silent; others are preferred for new flows.
      */
--- a/packages/forwarding/connection/server_condition.h
+++ b/packages/forwarding/connection/server_condition.h
@@ -25,6 +25,7 @@
     time_point lastAnswer; ///< When a caller last showed that the server had answered.
     std::uint64_t peersOpen = 0; ///< Open flows that other instances report.
     std::uint32_t peersSuspicious = 0; ///< Other instances for which it looks silent.
+    time_point peersAnsweredAt; ///< When a caller of another instance last showed an answer.
 };
 
 /** What an instance has seen of the backend servers of one failure domain together. */
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -42,6 +42,10 @@
 // While more other servers than this are suspected, the link of this instance may be the cause.
 constexpr std::size_t MostOtherSuspects = 1;
 
+// A server that answers others, but not here, is out of this instance's reach after this time.
+// Twice the callers' longest wait for a new flow's first answer would be too late for their goals.
+constexpr duration LongestContradiction = 1500ms;
+
 // Callers repeat an opening packet after this time; an answer that takes longer is none.
 constexpr duration CallerRepeatTime = 200ms;
 
@@ -69,12 +73,18 @@
 
 void server_evidence::adopt(const directory &known)
 {
-    m_domainOf.clear();
+    m_places.clear();
     for (const directory_server &server : known.servers()) {
-        m_domainOf.emplace(server.entry.key, server.entry.failureDomain);
+        m_places.emplace(server.entry.key,
+                         server_place{server.entry.failureDomain, server.entry.service});
     }
     std::erase_if(m_conditions,
-                  [this](const auto &item) { return !m_domainOf.contains(item.first); });
+                  [this](const auto &item) { return !m_places.contains(item.first); });
+    for (const auto &[address, to] : known.routes().routes) {
+        for (const service_share &share : to.shares) {
+            m_answerTimes[share.service].assume(to.goal);
+        }
+    }
 }
 
 void server_evidence::onOffer(server_key server, time_point now)
@@ -104,9 +114,8 @@
     if (std::exchange(state.suspicions, 0) > 0) {
         noteDisproof(now);
     }
-    const auto domain = m_domainOf.find(server);
-    if (domain != m_domainOf.end()) {
-        m_domains[domain->second].suspicions = 0;
+    if (const std::string *domain = domainOf(server)) {
+        m_domains[*domain].suspicions = 0;
     }
     state.oldestOffer.reset();
     if (state.opening > 0) {
@@ -179,11 +188,11 @@
     }
     ++state.suspicions;
     state.lastSuspicion = now;
-    const auto domain = m_domainOf.find(server);
-    if (domain == m_domainOf.end()) {
+    const std::string *domain = domainOf(server);
+    if (!domain) {
         return;
     }
-    domain_condition &whole = m_domains[domain->second];
+    domain_condition &whole = m_domains[*domain];
     if (whole.suspicions == 0 || now - whole.lastSuspicion > SuspicionLifetime) {
         whole = domain_condition{0, server, false, now};
     }
@@ -209,11 +218,8 @@
 
 bool server_evidence::isDomainSilent(server_key server, time_point now) const
 {
-    const auto domain = m_domainOf.find(server);
-    if (domain == m_domainOf.end()) {
-        return false;
-    }
-    const auto found = m_domains.find(domain->second);
+    const std::string *domain = domainOf(server);
+    const auto found = domain ? m_domains.find(*domain) : m_domains.end();
     if (found == m_domains.end()) {
         return false;
     }
@@ -229,8 +235,10 @@
         // No server answers at all, so this instance is the one that is cut off or overloaded.
         return false;
     }
+    // Callers repeat what they sent this long before the first sign.
+    const duration silence = now - state.firstSuspicion + CallerRepeatTime;
     if (now - state.lastSuspicion > SuspicionLifetime
-        || now - state.firstSuspicion < ShortestSilence) {
+        || now - state.firstSuspicion < ShortestSilence || silence < longestAnswer(server)) {
         return false;
     }
     return state.suspicions >= SuspicionsUntilSilent
@@ -297,17 +305,46 @@
     if (!looksSilent(server, now)) {
         return false;
     }
-    const auto domain = m_domainOf.find(server);
-    if (condition(server).peersSuspicious > 0
-        || (domain != m_domainOf.end() && m_silentDomains.contains(domain->second))) {
+    const server_condition &state = condition(server);
+    if (state.peersAnsweredAt > state.firstSuspicion
+        && now - state.firstSuspicion < LongestContradiction) {
+        // It answers others, so it is busy or out of this instance's reach for a moment.
+        return false;
+    }
+    const std::string *domain = domainOf(server);
+    if (state.peersSuspicious > 0 || (domain && m_silentDomains.contains(*domain))) {
         return true;
     }
     return !isOftenWrong(now) && otherSuspects(server, now) <= MostOtherSuspects;
 }
 
-void server_evidence::setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious)
+const std::string *server_evidence::domainOf(server_key server) const
+{
+    const auto found = m_places.find(server);
+    return found == m_places.end() ? nullptr : &found->second.failureDomain;
+}
+
+duration server_evidence::longestAnswer(server_key server) const
+{
+    const auto where = m_places.find(server);
+    const auto found = where == m_places.end() ? m_answerTimes.end()
+                                               : m_answerTimes.find(where->second.service);
+    return found == m_answerTimes.end() ? duration::zero() : found->second.upperBound();
+}
+
+void server_evidence::onAnswerTime(server_key server, duration length)
+{
+    const auto where = m_places.find(server);
+    if (where != m_places.end()) {
+        m_answerTimes[where->second.service].add(length);
+    }
+}
+
+void server_evidence::setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious,
+                                  time_point answeredAt)
 {
     server_condition &state = m_conditions[server];
+    state.peersAnsweredAt = answeredAt;
     state.peersOpen = open;
     state.peersSuspicious = suspicious;
 }
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "forwarding/connection/answer_time_estimate.h"
 #include "forwarding/connection/server_condition.h"
 #include "forwarding/request/flow_packet.h"
 #include "forwarding/version/directory.h"
@@ -72,13 +73,19 @@
     void checkLateOffers(time_point now);
     /** A caller had to repeat a packet of an open flow. */
     void onRepeat(server_key server, time_point now);
+    /** The server took this long to answer a request of an open flow. */
+    void onAnswerTime(server_key server, duration length);
     /** An offer was given up without a verdict, for example because the caller went away. */
     void onWithdrawnOffer(server_key server);
 
     void addOpen(server_key server, int change);
     void addBusy(server_key server, int change);
-    /** Sets what the other instances send to the server, and for how many it looks silent. */
-    void setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious);
+    /**
+     * Sets what the other instances send to the server, for how many it looks silent, and when it
+     * last answered one of their callers.
+     */
+    void setPeerLoad(server_key server, std::uint64_t open, std::uint32_t suspicious,
+                     time_point answeredAt);
     /** Sets the failure domains whose instances are all silent. */
     void setSilentDomains(std::set<std::string> domains);
 
@@ -125,7 +132,18 @@
     bool isOftenWrong(time_point now) const;
     std::size_t otherSuspects(server_key server, time_point now) const;
 
-    std::unordered_map<server_key, std::string> m_domainOf;
+    /** Where a server belongs. */
+    struct server_place
+    {
+        std::string failureDomain;
+        std::string service;
+    };
+
+    const std::string *domainOf(server_key server) const;
+    duration longestAnswer(server_key server) const;
+
+    std::unordered_map<server_key, server_place> m_places;
+    std::unordered_map<std::string, answer_time_estimate> m_answerTimes; ///< By service.
     std::unordered_map<std::string, domain_condition> m_domains;
     std::deque<late_offer> m_lateOffers; ///< Oldest first.
     std::set<std::string> m_silentDomains;
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -72,7 +72,9 @@
                 forwarder_options{m_options.failureDomain, seedOf(m_options.instance),
                                   m_options.flowCapacity},
                 m_log, m_metrics, [this](std::vector<peer_server_load> loads) {
-                    m_control.post([this, loads = std::move(loads)] { m_state.setLoads(loads); });
+                    m_control.post([this, loads = std::move(loads)] {
+                        m_state.setLoads(loads, std::chrono::steady_clock::now());
+                    });
                 })
 {
     m_store = m_frame.connectStore(
--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -53,7 +53,7 @@
 void traffic_loop::setPeerView(peer_view view)
 {
     m_thread.post([this, view = std::move(view)] {
-        m_forwarder.setPeerLoads(view.loads);
+        m_forwarder.setPeerLoads(view.loads, std::chrono::steady_clock::now());
         m_forwarder.setInstances(view.instances);
         m_forwarder.setSilentDomains(view.silentDomains);
     });
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -79,10 +79,21 @@
 
 void instance_control::sendHeartbeat(bool afterChange, time_point now)
 {
-    const peer_message message = m_peers.heartbeat(m_knowledge.revisions(), m_loads);
+    std::vector<peer_server_load> loads = m_loads;
+    for (peer_server_load &load : loads) {
+        // Ages count from when the message is sent.
+        load.answeredAgo += std::chrono::floor<std::chrono::milliseconds>(now - m_loadsAt);
+    }
+    const peer_message message = m_peers.heartbeat(m_knowledge.revisions(), std::move(loads));
     m_port.sendHeartbeat(message, m_peers.targets(afterChange, now));
 }
 
+void instance_control::setLoads(std::vector<peer_server_load> loads, time_point now)
+{
+    m_loads = std::move(loads);
+    m_loadsAt = now;
+}
+
 void instance_control::onPeerMessage(const peer_message &message, time_point now)
 {
     m_peers.onMessage(message, now);
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -76,7 +76,7 @@
     /** A pull has ended. `from` is where it went. */
     void onKnowledge(const endpoint &from, const result<passed_knowledge> &outcome, time_point now);
     /** Sets what this instance sends to backend servers. */
-    void setLoads(std::vector<peer_server_load> loads) { m_loads = std::move(loads); }
+    void setLoads(std::vector<peer_server_load> loads, time_point now);
     void setSeeds(const std::vector<endpoint> &seeds) { m_peers.setSeeds(seeds); }
     /** The process stood still for a while, so its connections may be dead. */
     void onPause(time_point now) { m_follower.renew(now); }
@@ -112,6 +112,7 @@
     planned_stop m_stop;
     std::shared_ptr<const directory> m_known; ///< What was published last.
     std::vector<peer_server_load> m_loads;
+    time_point m_loadsAt; ///< When they were collected.
     std::set<std::string> m_silentDomains;
     bool m_canServe = true;
     std::optional<time_point> m_behindSince; ///< Other instances know more than this one.
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -221,6 +221,11 @@
             sum.server = load.server;
             sum.open += load.open;
             sum.suspicious += std::min(load.suspicious, 1U);
+            if (load.answeredAgo < peer_server_load::NeverAnswered) {
+                const duration age = load.answeredAgo + (now - peer.heardAt);
+                sum.answeredAgo = std::min(sum.answeredAgo,
+                                           std::chrono::floor<std::chrono::milliseconds>(age));
+            }
         }
     }
     std::vector<peer_server_load> loads;
--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Instances of different versions ignore each other's messages and read the store themselves.
-constexpr std::uint32_t MessageVersion = 0x45570001;
+constexpr std::uint32_t MessageVersion = 0x45570002;
 constexpr std::uint32_t KnowledgeVersion = 0x45580001;
 
 // Holds 2,800 backend servers and 1,800 routes. A forged length inside can ask for some hundred
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -133,15 +133,17 @@
      * Opens a flow and repeats its request until its server looks silent, while others answer.
      * `confirmed` lets another instance say the same of the server.
      */
-    forwarding_decision repeatUntilSilent(const endpoint &service, bool confirmed)
+    forwarding_decision repeatUntilSilent(const endpoint &service, bool confirmed,
+                                          const std::vector<std::chrono::milliseconds> &pauses = {
+                                                  200ms, 400ms, 800ms})
     {
         const auto [first, token] = openFlow(service);
         const server_key server = observer.placements.back().server;
         if (confirmed) {
-            subject.setPeerLoads({{server, 1, 1}});
+            subject.setPeerLoads({{server, 1, 1}}, now);
         }
         forwarding_decision decision = subject.decide(later(first, token, 1, 100, 1), now);
-        for (const auto pause : {200ms, 400ms, 800ms}) {
+        for (const auto pause : pauses) {
             now += pause;
             answerElsewhere();
             REQUIRE(observer.placements.back().server != server);
@@ -347,7 +349,7 @@
         auto opened = openFlow();
         flows[observer.placements.back().server.value] = opened;
     }
-    subject.setPeerLoads({{server_key{1}, 1, 1}, {server_key{3}, 1, 1}});
+    subject.setPeerLoads({{server_key{1}, 1, 1}, {server_key{3}, 1, 1}}, now);
     for (const auto pause : {0ms, 200ms, 400ms, 800ms}) {
         now += pause;
         for (const std::uint64_t crashed : {1, 2}) {
@@ -407,7 +409,7 @@
     const flow_packet repeat = later(flows[1].first, flows[1].second, 1, 100, 1);
     REQUIRE(subject.evidence().looksSilent(server_key{1}, now));
     CHECK(serverOf(subject.decide(repeat, now)) == server_key{1});
-    subject.setPeerLoads({{server_key{1}, 1, 1}});
+    subject.setPeerLoads({{server_key{1}, 1, 1}}, now);
     CHECK(isReset(subject.decide(repeat, now), forwarding_refusal::BackendServerDead));
 }
 
@@ -448,6 +450,50 @@
     CHECK_FALSE(confirms(silent));
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture, "server silent here, answers others, its flows are kept")
+{
+    // Overloaded servers answer so few flows of each instance that they look silent to all.
+    const auto [first, token] = openFlow();
+    const server_key server = observer.placements.back().server;
+    const time_point suspected = now + 200ms;
+    for (const auto pause : {0ms, 200ms, 400ms, 300ms}) {
+        now += pause;
+        subject.decide(later(first, token, 1, 100, 1), now);
+        answerElsewhere();
+    }
+    const auto ago = std::chrono::floor<std::chrono::milliseconds>(now - suspected) - 100ms;
+    subject.setPeerLoads({{server, 1, 1, ago}}, now);
+    REQUIRE(subject.evidence().looksSilent(server, now));
+    CHECK_FALSE(subject.evidence().isSilent(server, now));
+    subject.setPeerLoads({{server, 1, 1, ago + 200ms}}, now);
+    CHECK(subject.evidence().isSilent(server, now));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "service whose answers take 900 ms, repeats, prove no silence")
+{
+    for (int i = 0; i < 10; ++i) {
+        const auto [first, token] = openFlow();
+        subject.decide(later(first, token, 1, 100, 1), now);
+        now += 900ms;
+        subject.decide(later(first, token, 101, 0, 500), now);
+    }
+    now += 6s; // No disproof counts any more.
+    CHECK(std::holds_alternative<forward_packet>(
+            repeatUntilSilent(samples::feedAddress(), true, {200ms, 200ms, 200ms})));
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "service without an answer yet, repeats, wait for the goal")
+{
+    desired_state state = samples::desiredState(2);
+    for (route &to : state.routes) {
+        to.goal = 1'000ms;
+    }
+    learn(state);
+    publish();
+    CHECK(std::holds_alternative<forward_packet>(
+            repeatUntilSilent(samples::feedAddress(), true, {200ms, 200ms, 200ms})));
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture,
                   "server silent to an instance often right, idempotent flow, is reset")
 {
