Do not count offers that were abandoned seconds ago as signs of silence

Ruled out: overload (the server answered every packet of the last second).

Change: an abandoned offer counts only if its server has answered nobody since, and never as a sign that the server is silent now.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -419,7 +419,7 @@
     }
     for (followed_flow &record : m_flows.removeIdle(now, idleTimeout)) {
         if (record.state == followed_flow::phase::Opening && record.offerCount > 0) {
-            m_evidence.onSilence(record.server, now);
+            m_evidence.onAbandonedOffer(record.server, record.offeredAt, now);
         }
         finish(record);
     }
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -144,6 +144,15 @@
     countSilence(server, now);
 }
 
+void server_evidence::onAbandonedOffer(server_key server, time_point offeredAt, time_point now)
+{
+    if (condition(server).lastAnswer >= offeredAt) {
+        onWithdrawnOffer(server);
+        return;
+    }
+    countSilence(server, now);
+}
+
 void server_evidence::onLateOffer(server_key server, time_point offeredAt, time_point now)
 {
     m_lateOffers.push_back({offeredAt, server});
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -62,7 +62,7 @@
      * held against it came from a slow link or a slow instance.
      */
     void onLateAnswer(server_key server, time_point now);
-    /** An offer stayed unanswered until its caller repeated it or gave up. */
+    /** An offer stayed unanswered until its caller repeated it. */
     void onSilence(server_key server, time_point now);
     /**
      * An offer stayed unanswered for AnswerTime and went to another server. On a full link answers
@@ -75,6 +75,11 @@
     void onRepeat(server_key server, time_point now);
     /** The server took this long to answer a request of an open flow. */
     void onAnswerTime(server_key server, duration length);
+    /**
+     * The caller of an offer has been gone for seconds. This counts against the server only if it
+     * has answered nobody since, and is too old to be a sign that it is silent now.
+     */
+    void onAbandonedOffer(server_key server, time_point offeredAt, time_point now);
     /** An offer was given up without a verdict, for example because the caller went away. */
     void onWithdrawnOffer(server_key server);
 
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -469,6 +469,33 @@
     CHECK(subject.evidence().isSilent(server, now));
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "offers that went unanswered seconds ago, server answers since, prove nothing")
+{
+    // Found by the emulator: offers that a cut had swallowed counted against their servers when
+    // their records were removed, seconds after the servers had answered others.
+    std::set<server_key> offered;
+    std::vector<std::pair<flow_packet, flow_token>> open;
+    for (int i = 0; i < 3; ++i) {
+        open.push_back(openFlow());
+    }
+    for (int i = 0; i < 3; ++i) {
+        offered.insert(serverOf(subject.decide(newFlow(), now)));
+    }
+    REQUIRE(offered.size() == 3);
+    now += 1s;
+    for (const auto &[first, token] : open) {
+        subject.decide(later(first, token, 1, 0, 500), now);
+    }
+    now += 3s;
+    subject.tick(now);
+    for (const server_key server : offered) {
+        CHECK(subject.evidence().condition(server).suspicions == 0);
+        CHECK(subject.evidence().condition(server).silences == 0);
+        CHECK(subject.evidence().condition(server).opening == 0);
+    }
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture, "service whose answers take 900 ms, repeats, prove no silence")
 {
     for (int i = 0; i < 10; ++i) {
