Reset a flow only after other instances could have contradicted

Ruled out: missing news (the heartbeats carry it; it came 250 ms late).

Change: a verdict is 450 ms old before a flow is reset: heartbeats are sent every 250 ms from loads collected every 200 ms. The emulator's servers queue four requests a slot and are half as fast when cold, as the users' site files say.

--- a/packages/emulator/emulated_caller.cpp
+++ b/packages/emulator/emulated_caller.cpp
@@ -68,7 +68,7 @@
 emulated_callers::request emulated_callers::newRequest(std::size_t traffic,
                                                        const std::string &failureDomain)
 {
-    const request made{++m_nextRequest, traffic, failureDomain, m_queue.now(), 0};
+    request made{++m_nextRequest, traffic, failureDomain, m_queue.now(), 0};
     m_queue.after(kindOf(traffic).timeLimit, [this, number = made.number] { onTimeLimit(number); });
     return made;
 }
--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -219,7 +219,8 @@
 
 void emulated_instance::publishPeerView(peer_view view)
 {
-    if (omits(omitted_mechanism::SilenceConfirmation)) {
+    if (omits(omitted_mechanism::PeerEvidence)) {
+        view.loads.clear();
         for (const peer_server_load &own : m_forwarder.loads(m_queue.now())) {
             view.loads.push_back({own.server, 0, 1});
         }
--- a/packages/emulator/emulated_instance.h
+++ b/packages/emulator/emulated_instance.h
@@ -21,7 +21,7 @@
     DesiredStateNews, ///< Instances hear only of the first desired state.
     EvacuationNews,
     SharedColdRate, ///< Each instance takes the whole rate of a cold server for itself.
-    SilenceConfirmation, ///< Every suspicion counts as confirmed.
+    PeerEvidence, ///< Every suspicion counts as confirmed, and nothing contradicts it.
     StoreAfterRestart, ///< An instance that starts again learns nothing.
 };
 
--- a/packages/emulator/emulated_server.cpp
+++ b/packages/emulator/emulated_server.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 // A server that has just started works this much slower.
-constexpr std::uint32_t ColdFactor = 6;
+constexpr std::uint32_t ColdFactor = 2;
 
 // Requests that wait for a slot, for each slot.
-constexpr std::size_t QueuePerSlot = 2;
+constexpr std::size_t QueuePerSlot = 4;
 
 } // namespace
 
--- a/packages/emulator/scenario.cpp
+++ b/packages/emulator/scenario.cpp
@@ -82,7 +82,8 @@
                      "Write it as a list of objects."};
     }
     for (Json::ArrayIndex i = 0; i < list.size(); ++i) {
-        const std::string path = key + "[" + std::to_string(i) + "]";
+        std::string path = key;
+        path.append("[").append(std::to_string(i)).append("]");
         if (!list[i].isObject()) {
             return error{error_kind::InvalidInput, file + ": " + path + " is not an object",
                          "Write it as an object in braces."};
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -42,6 +42,10 @@
 // While more other servers than this are suspected, the link of this instance may be the cause.
 constexpr std::size_t MostOtherSuspects = 1;
 
+// Heartbeats every 250 ms tell what was collected within 200 ms. Only after that can others have
+// contradicted.
+constexpr duration ContradictionDelay = 450ms;
+
 // A server that answers others, but not here, is out of this instance's reach after this time.
 // Twice the callers' longest wait for a new flow's first answer would be too late for their goals.
 constexpr duration LongestContradiction = 1500ms;
@@ -315,6 +319,9 @@
         return false;
     }
     const server_condition &state = condition(server);
+    if (now - state.firstSuspicion < ContradictionDelay) {
+        return false;
+    }
     if (state.peersAnsweredAt > state.firstSuspicion
         && now - state.firstSuspicion < LongestContradiction) {
         // It answers others, so it is busy or out of this instance's reach for a moment.
