Take repeats of flows that moved between instances for no answers

While routers moved flows between instances, edge-casa-ain-2 logged answers of the server at 25.4 s: it had seen the flow's opening packet and later a repeat of its request, and took the repeat for the acknowledgement of an answer. Its suspicions were cleared and its peers were contradicted.

Change: only packets without data, and data within 200 ms of the flow's last packet, show that the server has answered just now.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -29,6 +29,19 @@
 // Other instances hear for this long that a server has answered; suspicions are as old at most.
 constexpr duration AnswerReportTime = 2s;
 
+// Callers repeat data after 200 ms at the earliest.
+constexpr duration FirstRepeatTime = 200ms;
+
+/**
+ * Returns whether what the packet acknowledges has arrived at the caller just now. A repeat of data
+ * acknowledges what may have arrived long ago, if other packets of its flow took another way since
+ * `lastSeen`.
+ */
+bool acknowledgesJustNow(const flow_packet &packet, time_point lastSeen, time_point now)
+{
+    return packet.dataLength == 0 || now - lastSeen < FirstRepeatTime;
+}
+
 /** Compares sequence numbers, which wrap around. */
 bool isAfter(std::uint32_t left, std::uint32_t right)
 {
@@ -312,11 +325,11 @@
     } else if (record->state == followed_flow::phase::Opening) {
         onFirstPacketAfterOpening(packet, *record, server, now);
     }
-    record->lastSeen = now;
+    const time_point lastSeen = std::exchange(record->lastSeen, now);
     if (record->state == followed_flow::phase::Finished) {
         return;
     }
-    followData(packet, *record, now);
+    followData(packet, *record, lastSeen, now);
     if (packet.finishes || packet.resets) {
         finish(*record);
     }
@@ -326,7 +339,9 @@
                                           server_key server, time_point now)
 {
     if (record.offerCount > 0) {
-        if (record.server == server) {
+        if (!acknowledgesJustNow(packet, record.offeredAt, now)) {
+            m_evidence.onWithdrawnOffer(record.server);
+        } else if (record.server == server) {
             m_evidence.onAnswer(server, now);
         } else {
             // Nothing is known about the last offer.
@@ -348,15 +363,21 @@
     m_evidence.addOpen(server, 1);
 }
 
-void forwarder::followData(const flow_packet &packet, followed_flow &record, time_point now)
+void forwarder::followData(const flow_packet &packet, followed_flow &record, time_point lastSeen,
+                           time_point now)
 {
+    const bool isJustNow = acknowledgesJustNow(packet, lastSeen, now);
     if (isAfter(packet.acknowledged, record.acknowledged)) {
         record.acknowledged = packet.acknowledged;
-        m_evidence.onProgress(record.server, now);
+        if (isJustNow) {
+            m_evidence.onProgress(record.server, now);
+        }
         if (record.busy) {
             record.busy = false;
             m_evidence.addBusy(record.server, -1);
-            m_evidence.onAnswerTime(record.server, now - record.requestedAt);
+            if (isJustNow) {
+                m_evidence.onAnswerTime(record.server, now - record.requestedAt);
+            }
         }
     }
     if (packet.dataLength == 0) {
@@ -377,7 +398,9 @@
     if (isAfter(end, record.deliveredSequence + CallerWindowBytes)) {
         // The caller could send this only because the server acknowledged earlier data.
         record.deliveredSequence = end - CallerWindowBytes;
-        m_evidence.onProgress(record.server, now);
+        if (isJustNow) {
+            m_evidence.onProgress(record.server, now);
+        }
     }
     if (!record.busy) {
         record.busy = true;
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -148,7 +148,8 @@
     void onFirstPacketAfterOpening(const flow_packet &packet, followed_flow &record,
                                    server_key server, time_point now);
     void markOpen(const flow_packet &packet, followed_flow &record, server_key server);
-    void followData(const flow_packet &packet, followed_flow &record, time_point now);
+    void followData(const flow_packet &packet, followed_flow &record, time_point lastSeen,
+                    time_point now);
     void finish(followed_flow &record);
 
     placement m_placement;
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -494,6 +494,31 @@
     }
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture, "flow opened elsewhere, repeat of its request, is no answer")
+{
+    // Incident afa5: when routers moved flows between instances, repeats to a crashed server
+    // looked like answers, since the instance had seen the opening packets only.
+    const flow_packet first = newFlow();
+    const auto target = std::get<forward_packet>(subject.decide(first, now));
+    now += 1'400ms;
+    const time_point before = subject.evidence().condition(target.server).lastAnswer;
+    subject.decide(later(first, target.token, 1, 100, 1), now);
+    CHECK(subject.evidence().condition(target.server).lastAnswer == before);
+    CHECK(subject.evidence().condition(target.server).opening == 0);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture, "flow served elsewhere meanwhile, repeat, is no answer")
+{
+    const auto [first, token] = openFlow();
+    const server_key server = observer.placements.back().server;
+    const time_point before = subject.evidence().condition(server).lastAnswer;
+    now += 1'400ms;
+    subject.decide(later(first, token, 401, 100, 4'001), now);
+    CHECK(subject.evidence().condition(server).lastAnswer == before);
+    subject.decide(later(first, token, 501, 0, 8'001), now);
+    CHECK(subject.evidence().condition(server).lastAnswer == now);
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture, "service whose answers take 900 ms, repeats, prove no silence")
 {
     for (int i = 0; i < 10; ++i) {
