Bound the table of other instances and forget those only told of

Cause: messages between instances are not authenticated, and every name in them was kept; names that were never heard from were kept for good and lowered the share of cold servers' rates.

Ruled out: a key of the platform (its settings give none).

Change: at most 2,000 other instances; one that is only told of is forgotten after a minute, as one that has fallen silent.

--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -15,6 +15,10 @@
 // Three missed heartbeats of 250 ms; the platform's bounds of 3 s leave time to read the store.
 constexpr duration LiveTime = 800ms;
 
+// Several times the largest deployment of the capacity plan (480 instances). Messages are not
+// authenticated, so forged names must not fill the memory.
+constexpr std::size_t MostPeers = 2'000;
+
 // An instance that was silent for this long is contacted no more; it will contact others itself.
 constexpr duration ForgetTime = 60s;
 
@@ -49,11 +53,17 @@
     m_seeds = std::move(seeds);
 }
 
-void peer_directory::learn(const peer_entry &entry)
+void peer_directory::learn(const peer_entry &entry, time_point now)
 {
     if (entry.name == m_self.name || entry.leaving) {
         return;
     }
+    if (!m_peers.contains(entry.name)) {
+        if (m_peers.size() >= MostPeers) {
+            return;
+        }
+        m_peers[entry.name].heardAt = now;
+    }
     known_peer &peer = m_peers[entry.name];
     const bool isNewer = std::pair(entry.boot, entry.heartbeat)
                          > std::pair(peer.entry.boot, peer.entry.heartbeat);
@@ -64,7 +74,8 @@
 
 void peer_directory::onMessage(const peer_message &message, time_point now)
 {
-    if (message.sender.name == m_self.name) {
+    const bool isKnown = m_peers.contains(message.sender.name);
+    if (message.sender.name == m_self.name || (!isKnown && m_peers.size() >= MostPeers)) {
         return;
     }
     known_peer &peer = m_peers[message.sender.name];
@@ -75,7 +86,7 @@
     }
     peer = known_peer{message.sender, message.revisions, message.loads, now, true};
     for (const peer_entry &entry : message.others) {
-        learn(entry);
+        learn(entry, now);
     }
 }
 
@@ -108,9 +119,8 @@
 
 std::vector<endpoint> peer_directory::targets(bool afterChange, time_point now)
 {
-    std::erase_if(m_peers, [now](const auto &item) {
-        return item.second.heard && now - item.second.heardAt > ForgetTime;
-    });
+    std::erase_if(m_peers,
+                  [now](const auto &item) { return now - item.second.heardAt > ForgetTime; });
     std::vector<endpoint> targets;
     const bool tellsDomain = afterChange || isReader(now);
     const bool fullMesh = m_peers.size() < FullMeshInstances;
@@ -204,7 +214,7 @@
     std::size_t count = 1;
     for (const auto &[name, peer] : m_peers) {
         // Instances that fell silent may only be cut off; they still send to cold servers.
-        count += now - peer.heardAt <= ForgetTime || !peer.heard ? 1 : 0;
+        count += now - peer.heardAt <= ForgetTime ? 1 : 0;
     }
     return count;
 }
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -18,7 +18,7 @@
     peer_entry entry;
     known_revisions revisions{};
     std::vector<peer_server_load> loads;
-    time_point heardAt; ///< Of its own last message; old if it is known from others only.
+    time_point heardAt; ///< Of its own last message, or of the first word of it from others.
     bool heard = false;
 };
 
@@ -65,7 +65,7 @@
 
 private:
     bool isLive(const known_peer &peer, time_point now) const;
-    void learn(const peer_entry &entry);
+    void learn(const peer_entry &entry, time_point now);
 
     peer_entry m_self;
     seeded_random m_random;
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -217,4 +217,32 @@
     }
 }
 
+TEST_CASE_FIXTURE(peers_fixture, "forged names, thousands, do not fill the table")
+{
+    peer_directory &one = instances.at("one");
+    for (std::uint32_t i = 0; i < 5'000; ++i) {
+        peer_message forged;
+        forged.sender = instance("forged-" + std::to_string(i), "z", 1'000 + i);
+        forged.others = {instance("rumour-" + std::to_string(i), "z", 10'000 + i)};
+        one.onMessage(forged, now);
+    }
+    CHECK(one.liveCount(now) <= 2'001);
+    advance(500ms);
+    CHECK_FALSE(one.silentDomains(now).contains("b"));
+}
+
+TEST_CASE_FIXTURE(peers_fixture, "instance that is only told of, never heard, is forgotten")
+{
+    peer_message message;
+    message.sender = instance("two", "a", 2);
+    message.sender.heartbeat = 1'000'000;
+    message.others = {instance("ghost", "b", 99)};
+    peer_directory &one = instances.at("one");
+    const std::size_t before = one.liveCount(now);
+    one.onMessage(message, now);
+    CHECK(one.liveCount(now) == before + 1);
+    advance(61s);
+    CHECK(one.liveCount(now) == before);
+}
+
 } // namespace ebonyway
