--- a/packages/emulator/scenario.cpp
+++ b/packages/emulator/scenario.cpp
@@ -85,8 +85,9 @@
         std::string path = key;
         path.append("[").append(std::to_string(i)).append("]");
         if (!list[i].isObject()) {
-            return error{error_kind::InvalidInput, file + ": " + path + " is not an object",
-                         "Write it as an object in braces."};
+            std::string message = file;
+            message.append(": ").append(path).append(" is not an object");
+            return error{error_kind::InvalidInput, message, "Write it as an object in braces."};
         }
         settings_reader reader(file, path, list[i]);
         items.push_back(read(reader));
