--- a/packages/core/settings_reader.cpp
+++ b/packages/core/settings_reader.cpp
@@ -147,6 +147,19 @@
     return has(key) ? integer(key, least, most) : fallback;
 }
 
+bool settings_reader::flagOr(const std::string &key, bool fallback)
+{
+    const Json::Value *value = find(key);
+    if (!value) {
+        return fallback;
+    }
+    if (!value->isBool()) {
+        fail(key, compactJson(*value), "Write true or false, without quotes.");
+        return fallback;
+    }
+    return value->asBool();
+}
+
 ip_address settings_reader::address(const std::string &key)
 {
     const std::string written = text(key);
--- a/packages/core/settings_reader.h
+++ b/packages/core/settings_reader.h
@@ -42,6 +42,8 @@
     /** Optional integer within [least, most]. */
     std::uint64_t integerOr(const std::string &key, std::uint64_t least, std::uint64_t most,
                             std::uint64_t fallback);
+    /** Optional true or false. */
+    bool flagOr(const std::string &key, bool fallback);
     /** Required numeric IP address. */
     ip_address address(const std::string &key);
     /** Required address with port. */
--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -37,7 +37,7 @@
     , m_omitted(omitted)
     , m_log("instance-" + std::to_string(m_where.id), queue, log)
     , m_control({"instance-" + std::to_string(m_where.id), m_where.failureDomain,
-                 addressOf(m_where.id), boot, seed},
+                 addressOf(m_where.id), boot, seed, boot == 1},
                 {}, *this, m_log)
     , m_forwarder({m_where.failureDomain, seed, FlowCapacity}, m_log.observer())
 { }
@@ -136,7 +136,7 @@
     whenRunning([this, message] { m_control.onPeerMessage(message, m_queue.now()); });
 }
 
-void emulated_instance::onKnowledge(const endpoint &from, const exported_knowledge &known)
+void emulated_instance::onKnowledge(const endpoint &from, const result<exported_knowledge> &known)
 {
     whenRunning([this, from, known] {
         if (std::exchange(m_pullNumber, 0) != 0) {
--- a/packages/emulator/emulated_instance.h
+++ b/packages/emulator/emulated_instance.h
@@ -58,12 +58,13 @@
 
     void onPacket(const caller_packet &packet);
     void onPeerMessage(const peer_message &message);
-    void onKnowledge(const endpoint &from, const exported_knowledge &known);
+    void onKnowledge(const endpoint &from, const result<exported_knowledge> &known);
     std::optional<exported_knowledge> pass() const;
 
     /** Returns whether it answers the routers that it takes packets. */
     bool isReady() const { return m_alive && !m_frozen && m_control.isReady(); }
     bool isAlive() const { return m_alive; }
+    bool isFrozen() const { return m_alive && m_frozen; }
     /** Returns whether a requested stop has finished. */
     bool mayExit() const { return m_control.mayExit(m_queue.now(), m_lastPacket); }
     const place &where() const { return m_where; }
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -65,7 +65,7 @@
     , m_settingsFile(std::move(settingsFile))
     , m_log(log, m_options.instance)
     , m_instanceControl({m_options.instance, m_options.failureDomain, m_options.peers, wallMillis(),
-                         makeSeed(m_options.instance)},
+                         makeSeed(m_options.instance), m_options.firstStart},
                         {m_options.heartbeat, m_options.stopGrace}, *this, m_log)
     , m_readinessListener(m_controlThread.loop(),
                           [this](const std::string &path) { return readinessPage(path); })
@@ -244,8 +244,9 @@
         return;
     }
     // Only the seeds apply at runtime: peers are rediscovered from them. Addresses are bound once
-    // at startup.
+    // at startup, and a first start is over when the settings change.
     m_options.seeds = valueOf(read).seeds;
+    m_options.firstStart = valueOf(read).firstStart;
     m_instanceControl.setSeeds(m_options.seeds);
     const bool needsRestart = !(valueOf(read) == m_options);
     m_log.write({needsRestart ? log_level::Warn : log_level::Info,
--- a/packages/forwarding/process/forwarding_settings.cpp
+++ b/packages/forwarding/process/forwarding_settings.cpp
@@ -35,6 +35,7 @@
     settings.store = reader.addressWithPort("store");
     settings.heartbeat = reader.durationOr("heartbeat", 50ms, 60s, settings.heartbeat);
     settings.stopGrace = reader.durationOr("stop_grace", 100ms, 10min, settings.stopGrace);
+    settings.firstStart = reader.flagOr("first_start", settings.firstStart);
     settings.flowCapacity = static_cast<std::uint32_t>(reader.integerOr(
             "flow_capacity", MinFlowCapacity, MaxFlowCapacity, settings.flowCapacity));
     settings.logLevel =
--- a/packages/forwarding/process/forwarding_settings.h
+++ b/packages/forwarding/process/forwarding_settings.h
@@ -25,6 +25,7 @@
 
     std::chrono::milliseconds heartbeat{1200}; ///< Interval of backend server reports.
     std::chrono::milliseconds stopGrace{6000}; ///< Time between SIGTERM and the kill.
+    bool firstStart = false; ///< The whole deployment starts for the first time.
     std::uint32_t flowCapacity = 65'536; ///< Maximum number of tracked flows.
     std::string logLevel = "info";
 
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/process/instance_control.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -37,14 +38,24 @@
     , m_peers({identity.name, identity.failureDomain, identity.peers, identity.boot, 0, false,
                false},
               identity.seed)
+    , m_startup(identity.isFirstStart)
     , m_stop(times.stopGrace)
-{ }
+    , m_peerAddress(identity.peers)
+{
+    m_follower.setReading(false);
+    m_follower.takeEvents();
+}
 
 void instance_control::start(const std::vector<endpoint> &seeds, time_point now)
 {
     m_startedAt = now;
     m_peers.setSeeds(seeds);
+    std::vector<endpoint> others = seeds;
+    const bool isSeed = std::erase(others, m_peerAddress) > 0;
+    m_startup.start(std::move(others), isSeed, now);
     sendHeartbeat(true, now);
+    pullKnowledge(now);
+    updateReading(now);
     followStore(now);
 }
 
@@ -66,9 +77,9 @@
 
 void instance_control::tickPeers(time_point now)
 {
-    m_peers.setStoreAnswers(m_snapshot && m_follower.storeAnswers());
-    // An instance reads the store itself until its knowledge is complete for the first time.
-    m_follower.setReading(!m_snapshot || m_peers.isStoreReader(now));
+    const bool hasHeardStore = m_snapshot || m_follower.lastAnswer() != time_point{};
+    m_peers.setStoreAnswers(hasHeardStore && m_follower.storeAnswers());
+    updateReading(now);
     pullKnowledge(now);
     if (now < m_nextHeartbeat) {
         return;
@@ -80,7 +91,25 @@
             {m_peers.peerLoads(now), m_peers.knownInstanceCount(now), m_silentDomains});
 }
 
+void instance_control::updateReading(time_point now)
+{
+    if (!m_snapshot) {
+        const bool wasReading = m_follower.isReading();
+        m_follower.setReading(
+                wasReading
+                || m_startup.mayListStore(m_peers.hearsStoreReader(now), m_port.isPulling(), now));
+        return;
+    }
+    m_follower.setReading(m_peers.isStoreReader(now)
+                          && m_startup.mayBecomeReader(m_peers.knownInstanceCount(now) > 1, now));
+}
+
 void instance_control::sendHeartbeat(bool afterChange, time_point now)
+{
+    sendHeartbeatTo(m_peers.targets(afterChange, now), now);
+}
+
+void instance_control::sendHeartbeatTo(const std::vector<endpoint> &targets, time_point now)
 {
     std::vector<peer_server_load> loads = m_loads;
     for (peer_server_load &load : loads) {
@@ -88,7 +117,7 @@
         load.answeredAgo += std::chrono::floor<std::chrono::milliseconds>(now - m_loadsAt);
     }
     const peer_message message = m_peers.heartbeat(m_knowledge.revisions(), std::move(loads));
-    m_port.sendHeartbeat(message, m_peers.targets(afterChange, now));
+    m_port.sendHeartbeat(message, targets);
 }
 
 void instance_control::setLoads(std::vector<peer_server_load> loads, time_point now)
@@ -101,6 +130,11 @@
 {
     m_peers.onMessage(message, now);
     pullKnowledge(now);
+    const bool senderKnowsNothing = message.revisions == known_revisions{};
+    if (m_snapshot && senderKnowsNothing && message.sender.address != m_peerAddress) {
+        // The sender has just started and may have to wait long for a regular heartbeat.
+        sendHeartbeatTo({message.sender.address}, now);
+    }
 }
 
 void instance_control::pullKnowledge(time_point now)
@@ -111,6 +145,10 @@
     const auto source = m_peers.findPeerWithNewerRevision(m_knowledge.revisions(), now);
     if (!source) {
         m_behindSince.reset();
+        const auto seed = m_snapshot ? std::nullopt : m_startup.nextSeed();
+        if (seed) {
+            m_port.pullKnowledge(*seed, now);
+        }
         return;
     }
     if (!m_behindSince) {
@@ -208,6 +246,7 @@
         m_log.write({log_level::Info,
                      "ready",
                      {{"after_ms", toMillis(now - m_startedAt)},
+                      {"store_read", m_follower.lastAnswer() != time_point{}},
                       {"desired_version", m_snapshot->routes().version},
                       {"backend_servers", std::uint64_t{m_snapshot->servers().size()}}}});
     }
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/process/peer_directory.h"
 #include "forwarding/process/planned_stop.h"
+#include "forwarding/process/startup_plan.h"
 #include "forwarding/process/store_follower.h"
 #include "forwarding/version/directory_builder.h"
 #include "telemetry/event_log.h"
@@ -48,6 +49,7 @@
     endpoint peers; ///< Address at which other instances reach it.
     std::uint64_t boot = 0; ///< Wall-clock start time in milliseconds.
     std::uint64_t seed = 0;
+    bool isFirstStart = false; ///< The whole deployment starts for the first time.
 };
 
 /** Durations from the settings of an instance. */
@@ -97,8 +99,10 @@
 
 private:
     void tickPeers(time_point now);
+    void updateReading(time_point now);
     void followStore(time_point now);
     void sendHeartbeat(bool afterChange, time_point now);
+    void sendHeartbeatTo(const std::vector<endpoint> &targets, time_point now);
     void pullKnowledge(time_point now);
     void logStoreEvents();
     void logAndPublish(const std::vector<directory_change> &changes, time_point now);
@@ -110,7 +114,9 @@
     directory_builder m_knowledge;
     store_follower m_follower;
     peer_directory m_peers;
+    startup_plan m_startup;
     planned_stop m_stop;
+    endpoint m_peerAddress; ///< At which other instances reach this one.
     std::shared_ptr<const directory> m_snapshot; ///< Last published; null before the first one.
     std::vector<peer_server_load> m_loads;
     time_point m_loadsAt; ///< Time at which m_loads was collected.
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -179,6 +179,13 @@
     return true;
 }
 
+bool peer_directory::hearsStoreReader(time_point now) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return item.second.entry.storeAnswers && isLive(item.second, now);
+    });
+}
+
 std::optional<endpoint> peer_directory::findPeerWithNewerRevision(const known_revisions &own,
                                                                   time_point now) const
 {
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -53,6 +53,9 @@
      */
     bool isStoreReader(time_point now) const;
 
+    /** Returns whether a live peer gets answers from the store. */
+    bool hearsStoreReader(time_point now) const;
+
     /**
      * Returns the address of a live instance with a newer revision of some kind, preferably in the
      * own failure domain.
--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -125,6 +125,11 @@
     for (const store_kind kind : AllStoreKinds) {
         follow_state &state = stateOf(kind);
         const std::uint64_t known = m_knowledge.revisions()[static_cast<std::size_t>(kind)];
+        if (reading && known > 0 && state.currentStage == stage::Listing) {
+            // A peer has passed on all objects of the kind, so only later changes are missing.
+            restartList(state);
+            state.currentStage = stage::Watching;
+        }
         if (state.currentStage == stage::Watching) {
             state.revision = std::max(state.revision, known);
         }
