--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -136,7 +136,7 @@
     whenRunning([this, message] { m_control.onPeerMessage(message, m_queue.now()); });
 }
 
-void emulated_instance::onKnowledge(const endpoint &from, const result<exported_knowledge> &known)
+void emulated_instance::onKnowledge(const endpoint &from, const exported_knowledge &known)
 {
     whenRunning([this, from, known] {
         if (std::exchange(m_pullNumber, 0) != 0) {
@@ -177,7 +177,7 @@
         page->objects.clear();
     }
     if (kind == store_kind::DesiredState && omits(omitted_mechanism::DesiredStateNews)) {
-        if (std::exchange(m_knowsDesiredState, m_knowsDesiredState || !page->objects.empty())) {
+        if (m_knowsDesiredState) {
             page->objects.clear();
         }
     }
@@ -217,6 +217,12 @@
     });
 }
 
+void emulated_instance::publish(std::shared_ptr<const directory> known)
+{
+    m_knowsDesiredState = true;
+    m_forwarder.adopt(std::move(known));
+}
+
 void emulated_instance::publishPeerView(peer_view view)
 {
     if (omits(omitted_mechanism::PeerEvidence)) {
--- a/packages/emulator/emulated_instance.h
+++ b/packages/emulator/emulated_instance.h
@@ -58,13 +58,12 @@
 
     void onPacket(const caller_packet &packet);
     void onPeerMessage(const peer_message &message);
-    void onKnowledge(const endpoint &from, const result<exported_knowledge> &known);
+    void onKnowledge(const endpoint &from, const exported_knowledge &known);
     std::optional<exported_knowledge> pass() const;
 
     /** Returns whether it answers the routers that it takes packets. */
     bool isReady() const { return m_alive && !m_frozen && m_control.isReady(); }
     bool isAlive() const { return m_alive; }
-    bool isFrozen() const { return m_alive && m_frozen; }
     /** Returns whether a requested stop has finished. */
     bool mayExit() const { return m_control.mayExit(m_queue.now(), m_lastPacket); }
     const place &where() const { return m_where; }
@@ -79,7 +78,7 @@
     void sendHeartbeat(const peer_message &message, std::span<const endpoint> targets) override;
     void pullKnowledge(const endpoint &from, time_point now) override;
     bool isPulling() const override { return m_pullNumber != 0; }
-    void publish(std::shared_ptr<const directory> known) override { m_forwarder.adopt(known); }
+    void publish(std::shared_ptr<const directory> known) override;
     void publishPeerView(peer_view view) override;
 
     /** Runs the action now, or when the process runs again. */
--- a/packages/emulator/emulation.cpp
+++ b/packages/emulator/emulation.cpp
@@ -286,23 +286,17 @@
 
 void emulation::pullKnowledge(const place &from, const endpoint &to)
 {
-    const auto source = std::find_if(m_instances.begin(), m_instances.end(), [&](const auto &item) {
-        return item.second->address() == to;
-    });
-    if (source == m_instances.end()) {
+    emulated_instance *source = instanceAt(to);
+    if (!source) {
         return;
     }
-    emulated_instance *asked = source->second;
-    m_network.send(from, asked->where(), [this, from, to, asked] {
-        if (asked->isFrozen()) {
+    m_network.send(from, source->where(), [this, from, to, source] {
+        const auto known = source->pass();
+        if (!known) {
             return;
         }
-        const auto known = asked->pass();
-        const result<exported_knowledge> answer = known ? result<exported_knowledge>(*known)
-                                                        : error{error_kind::Unavailable, "refused",
-                                                                "Another instance is asked next."};
-        m_network.send(asked->where(), from,
-                       [this, from, to, answer] { m_instances[from.id]->onKnowledge(to, answer); });
+        m_network.send(source->where(), from,
+                       [this, from, to, known] { m_instances[from.id]->onKnowledge(to, *known); });
     });
 }
 
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -18,6 +18,10 @@
 // pulls the knowledge from the peer. The store notifies all watchers within milliseconds.
 constexpr duration MaxStoreLag = 500ms;
 
+// Time after the start during which a running pull of the first knowledge delays store calls. The
+// peer has just announced its knowledge, so it needs only a few round trips.
+constexpr duration FirstPullTime = 150ms;
+
 // Interval of the checks for lapsed and departed backend servers. The grace period of lapsed
 // entries is seconds long, so checking twice a second is sufficient.
 constexpr duration ExpiryInterval = 500ms;
@@ -50,11 +54,8 @@
 {
     m_startedAt = now;
     m_peers.setSeeds(seeds);
-    std::vector<endpoint> others = seeds;
-    const bool isSeed = std::erase(others, m_peerAddress) > 0;
-    m_startup.start(std::move(others), isSeed, now);
+    m_startup.start(std::find(seeds.begin(), seeds.end(), m_peerAddress) != seeds.end(), now);
     sendHeartbeat(true, now);
-    pullKnowledge(now);
     updateReading(now);
     followStore(now);
 }
@@ -93,15 +94,14 @@
 
 void instance_control::updateReading(time_point now)
 {
+    const bool mayBecomeReader = m_startup.mayBecomeReader(now);
+    m_follower.setWatching(mayBecomeReader);
     if (!m_snapshot) {
-        const bool wasReading = m_follower.isReading();
-        m_follower.setReading(
-                wasReading
-                || m_startup.mayListStore(m_peers.hearsStoreReader(now), m_port.isPulling(), now));
+        m_follower.setReading(m_follower.isReading()
+                              || m_startup.mayListStore(m_peers.hearsStoreReader(now), now));
         return;
     }
-    m_follower.setReading(m_peers.isStoreReader(now)
-                          && m_startup.mayBecomeReader(m_peers.knownInstanceCount(now) > 1, now));
+    m_follower.setReading(mayBecomeReader && m_peers.isStoreReader(now));
 }
 
 void instance_control::sendHeartbeat(bool afterChange, time_point now)
@@ -145,10 +145,6 @@
     const auto source = m_peers.findPeerWithNewerRevision(m_knowledge.revisions(), now);
     if (!source) {
         m_behindSince.reset();
-        const auto seed = m_snapshot ? std::nullopt : m_startup.nextSeed();
-        if (seed) {
-            m_port.pullKnowledge(*seed, now);
-        }
         return;
     }
     if (!m_behindSince) {
@@ -178,6 +174,7 @@
         m_follower.restartCalls(now);
     }
     logAndPublish(changes, now);
+    updateReading(now);
 }
 
 std::optional<exported_knowledge> instance_control::exportKnowledge(time_point now) const
@@ -188,6 +185,9 @@
 
 void instance_control::followStore(time_point now)
 {
+    if (!m_snapshot && m_port.isPulling() && now - m_startedAt < FirstPullTime) {
+        return;
+    }
     const store_step step = m_follower.next(now);
     for (const store_kind kind : step.cancels) {
         m_port.cancelStoreCall(kind);
--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -95,7 +95,9 @@
             continue;
         }
         follow_state &state = stateOf(kind);
-        if (state.hasPendingCall) {
+        const bool isLater = kind != ProbeKind && stateOf(ProbeKind).currentStage == stage::Listing;
+        if (state.hasPendingCall
+            || (!m_mayWatch && (isLater || state.currentStage == stage::Watching))) {
             continue;
         }
         store_call call = callFor(kind, state);
--- a/packages/forwarding/process/store_follower.h
+++ b/packages/forwarding/process/store_follower.h
@@ -46,6 +46,11 @@
     /** Sets whether this instance reads the store; otherwise it gets changes from its peers. */
     void setReading(bool reading);
     bool isReading() const { return m_isReading; }
+    /**
+     * Sets whether watches may start. Without them, the desired state is listed first and the other
+     * kinds only then, so that knowledge from a peer that arrives meanwhile saves their calls.
+     */
+    void setWatching(bool watching) { m_mayWatch = watching; }
 
     void onAnswer(store_kind kind, const store_answer &answer, time_point now);
 
@@ -97,6 +102,7 @@
     time_point m_lastAnswer;
     bool m_restartPending = false; ///< next() must cancel all running calls and restart them.
     bool m_isReading = true;
+    bool m_mayWatch = true;
     std::vector<directory_change> m_changes;
     std::vector<store_event> m_events;
 };
