--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -70,11 +70,17 @@
     /** Value of answeredAgo if the server has not answered recently. */
     static constexpr std::chrono::milliseconds NeverAnswered{0xffff};
 
+    /** Encodes the load of one instance in 13 bytes. Counts above the range are cut off. */
     template <class Archive>
     void serialize(Archive &archive)
     {
+        constexpr std::uint32_t MaxCount = 0xffff;
         auto age = static_cast<std::uint16_t>(std::min(answeredAgo, NeverAnswered).count());
-        archive(server, flowCount, suspiciousInstances, age);
+        auto flows = static_cast<std::uint16_t>(std::min(flowCount, MaxCount));
+        auto suspicious = static_cast<std::uint8_t>(suspiciousInstances > 0 ? 1 : 0);
+        archive(server, flows, suspicious, age);
+        flowCount = flows;
+        suspiciousInstances = suspicious;
         answeredAgo = std::chrono::milliseconds(age);
     }
 };
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -18,6 +18,11 @@
 // pulls the knowledge from the peer. The store notifies all watchers within milliseconds.
 constexpr duration MaxStoreLag = 500ms;
 
+// Number of other instances listed in a heartbeat to another failure domain of a large deployment.
+// Traffic between domains is charged; an instance gets 32 such heartbeats a second from four
+// domains, so two are enough to learn of new instances soon.
+constexpr std::size_t MaxPeersListedFar = 2;
+
 // Time after the start during which a running pull of the first knowledge delays store calls. The
 // peer has just announced its knowledge, so it needs only a few round trips.
 constexpr duration FirstPullTime = 150ms;
@@ -109,15 +114,21 @@
     sendHeartbeatTo(m_peers.targets(afterChange, now), now);
 }
 
-void instance_control::sendHeartbeatTo(const std::vector<endpoint> &targets, time_point now)
+void instance_control::sendHeartbeatTo(const heartbeat_targets &targets, time_point now)
 {
     std::vector<peer_server_load> loads = m_loads;
     for (peer_server_load &load : loads) {
         // The receiver expects ages relative to the time the message is sent.
         load.answeredAgo += std::chrono::floor<std::chrono::milliseconds>(now - m_loadsAt);
     }
-    const peer_message message = m_peers.heartbeat(m_knowledge.revisions(), std::move(loads));
-    m_port.sendHeartbeat(message, targets);
+    peer_message message = m_peers.heartbeat(m_knowledge.revisions(), std::move(loads));
+    if (!targets.near.empty()) {
+        m_port.sendHeartbeat(message, targets.near);
+    }
+    if (!targets.far.empty()) {
+        message.otherPeers.resize(std::min(message.otherPeers.size(), MaxPeersListedFar));
+        m_port.sendHeartbeat(message, targets.far);
+    }
 }
 
 void instance_control::setLoads(std::vector<peer_server_load> loads, time_point now)
@@ -133,7 +144,7 @@
     const bool senderKnowsNothing = message.revisions == known_revisions{};
     if (m_snapshot && senderKnowsNothing && message.sender.address != m_peerAddress) {
         // The sender has just started and may have to wait long for a regular heartbeat.
-        sendHeartbeatTo({message.sender.address}, now);
+        sendHeartbeatTo({{message.sender.address}, {}}, now);
     }
 }
 
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -102,7 +102,7 @@
     void updateReading(time_point now);
     void followStore(time_point now);
     void sendHeartbeat(bool afterChange, time_point now);
-    void sendHeartbeatTo(const std::vector<endpoint> &targets, time_point now);
+    void sendHeartbeatTo(const heartbeat_targets &targets, time_point now);
     void pullKnowledge(time_point now);
     void logStoreEvents();
     void logAndPublish(const std::vector<directory_change> &changes, time_point now);
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -126,26 +126,34 @@
     return message;
 }
 
-std::vector<endpoint> peer_directory::targets(bool afterChange, time_point now)
+std::vector<endpoint> heartbeat_targets::all() const
+{
+    std::vector<endpoint> both = near;
+    both.insert(both.end(), far.begin(), far.end());
+    return both;
+}
+
+heartbeat_targets peer_directory::targets(bool afterChange, time_point now)
 {
     std::erase_if(m_peers,
                   [now](const auto &item) { return now - item.second.heardAt > PeerRetention; });
-    std::vector<endpoint> targets;
+    heartbeat_targets targets;
     const bool sendsToDomain = afterChange || isStoreReader(now);
     const bool fullMesh = m_peers.size() < FullMeshInstances;
     std::map<std::string, std::vector<endpoint>> others;
     for (const auto &[name, peer] : m_peers) {
         const bool sameDomain = peer.entry.failureDomain == m_self.failureDomain;
         if (fullMesh || (sameDomain && sendsToDomain)) {
-            targets.push_back(peer.entry.address);
+            targets.near.push_back(peer.entry.address);
             continue;
         }
         others[peer.entry.failureDomain].push_back(peer.entry.address);
     }
     for (auto &[domain, addresses] : others) {
+        auto &chosenOnes = domain == m_self.failureDomain ? targets.near : targets.far;
         for (std::size_t i = 0; i < RandomTargetsPerDomain && !addresses.empty(); ++i) {
             const std::size_t chosen = m_random.below(addresses.size());
-            targets.push_back(addresses[chosen]);
+            chosenOnes.push_back(addresses[chosen]);
             addresses.erase(addresses.begin() + static_cast<std::ptrdiff_t>(chosen));
         }
     }
@@ -155,7 +163,7 @@
             return item.second.entry.address == seed;
         });
         if (!isKnown && (m_peers.empty() || m_random.below(8) == 0)) {
-            targets.push_back(seed);
+            targets.near.push_back(seed);
         }
     }
     return targets;
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -22,6 +22,15 @@
     bool heardDirectly = false; ///< The peer has sent a message; otherwise only others reported it.
 };
 
+/** Recipients of a heartbeat. */
+struct heartbeat_targets
+{
+    std::vector<endpoint> near; ///< Instances of the own failure domain, and seeds.
+    std::vector<endpoint> far; ///< Some instances of each other domain of a large deployment.
+
+    std::vector<endpoint> all() const;
+};
+
 /**
  * Tracks the peers of an instance: which are live, which one reads the store for a failure domain,
  * and which have newer knowledge. Performs no I/O and reads no clock.
@@ -44,7 +53,7 @@
      * Returns the recipients of the next heartbeat. After a change, and always if this instance is
      * the store reader, they include all instances of the own failure domain.
      */
-    std::vector<endpoint> targets(bool afterChange, time_point now);
+    heartbeat_targets targets(bool afterChange, time_point now);
 
     /**
      * Returns whether this instance reads the store itself. One instance per failure domain does,
--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -29,6 +29,11 @@
 constexpr duration WatchWait = 25s;
 constexpr duration WatchTimeout = 27s;
 
+// Pause after changes of backend servers before they are watched again, so that one call returns
+// all changes of a release or a mass restart. Short against the 3 s within which a drain must take
+// effect.
+constexpr duration ServerChangePause = 200ms;
+
 // Base and maximum of the delay between retries, which doubles with each failed retry because calls
 // to an unavailable store are charged too. At most one second between retries keeps the delay until
 // changes arrive again well below the platform's limit of 3 s.
@@ -96,7 +101,7 @@
         }
         follow_state &state = stateOf(kind);
         const bool isLater = kind != ProbeKind && stateOf(ProbeKind).currentStage == stage::Listing;
-        if (state.hasPendingCall
+        if (state.hasPendingCall || now < state.nextCallAt
             || (!m_mayWatch && (isLater || state.currentStage == stage::Watching))) {
             continue;
         }
@@ -187,6 +192,9 @@
         for (const store_object &object : page.objects) {
             m_knowledge.advanceRevision(kind, object.revision);
         }
+        if (kind == store_kind::BackendServers && !page.objects.empty()) {
+            state.nextCallAt = now + ServerChangePause;
+        }
         return;
     }
     if (std::exchange(state.awaitsFirstPage, false)) {
--- a/packages/forwarding/process/store_follower.h
+++ b/packages/forwarding/process/store_follower.h
@@ -79,6 +79,7 @@
     {
         stage currentStage = stage::Listing;
         bool hasPendingCall = false;
+        time_point nextCallAt; ///< Earliest time of the next call.
         std::uint64_t revision = 0; ///< Revision from which to watch.
         std::uint64_t listRevision = 0; ///< Revision of the first page of the running list.
         std::string afterName; ///< Last name of the previous page of the running list.
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -67,7 +67,7 @@
                 const auto bytes = encodePeerMessage(peer.heartbeat(revisions[name], {}));
                 const auto message = decodePeerMessage(bytes);
                 REQUIRE(isOk(message));
-                for (const endpoint &to : peer.targets(false, now)) {
+                for (const endpoint &to : peer.targets(false, now).all()) {
                     deliver(valueOf(message), to);
                 }
             }
--- a/tests/forwarding/process/store_follower_test.cpp
+++ b/tests/forwarding/process/store_follower_test.cpp
@@ -207,4 +207,65 @@
     CHECK(subject.mayExit(start + 5s, start + 5s));
 }
 
+TEST_CASE_FIXTURE(follower_fixture, "watch of servers, changes in quick succession, need few calls")
+{
+    listAll();
+    // A release: a server changes every 20 ms for a second. A watch answers at the first change.
+    std::uint64_t calls = 0;
+    std::uint64_t revision = 20;
+    const time_point end = now + 1s;
+    for (; now < end; now += 20ms) {
+        ++revision;
+        if (callOf(store_kind::BackendServers)) {
+            ++calls;
+            answer(store_kind::BackendServers,
+                   {{samples::object(samples::entry(revision, "a"), revision)},
+                    revision,
+                    false,
+                    ""});
+        }
+        advance();
+    }
+    CHECK(calls <= 6);
+    now += 200ms;
+    advance();
+    REQUIRE(callOf(store_kind::BackendServers));
+    CHECK(callOf(store_kind::BackendServers)->revision > 20);
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "knowledge from a peer, reading starts later, is not listed again")
+{
+    subject.setReading(false);
+    knowledge.apply(store_kind::DesiredState, samples::object(samples::desiredState(1), 5), now);
+    for (const store_kind kind : AllStoreKinds) {
+        knowledge.advanceRevision(kind, 30);
+    }
+    subject.setReading(true);
+    advance();
+    REQUIRE(step.calls.size() == 3);
+    for (const store_call &call : step.calls) {
+        CHECK(call.isWatch);
+        CHECK(call.revision == 30);
+    }
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "start, watches not allowed, lists the desired state first")
+{
+    subject.setWatching(false);
+    advance();
+    REQUIRE(step.calls.size() == 1);
+    CHECK(step.calls.front().kind == store_kind::DesiredState);
+    answer(store_kind::DesiredState,
+           {{samples::object(samples::desiredState(1), 5)}, 20, false, "main"});
+    advance();
+    CHECK(step.calls.size() == 2);
+    answer(store_kind::BackendServers,
+           {{samples::object(samples::entry(1, "a"), 6)}, 20, false, "i-1"});
+    answer(store_kind::Evacuations, {{}, 20, false, ""});
+    advance();
+    CHECK(knowledge.isComplete());
+    CHECK(step.calls.empty());
+}
+
 } // namespace ebonyway
