--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -126,13 +126,6 @@
     return message;
 }
 
-std::vector<endpoint> heartbeat_targets::all() const
-{
-    std::vector<endpoint> both = near;
-    both.insert(both.end(), far.begin(), far.end());
-    return both;
-}
-
 heartbeat_targets peer_directory::targets(bool afterChange, time_point now)
 {
     std::erase_if(m_peers,
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -27,8 +27,6 @@
 {
     std::vector<endpoint> near; ///< Instances of the own failure domain, and seeds.
     std::vector<endpoint> far; ///< Some instances of each other domain of a large deployment.
-
-    std::vector<endpoint> all() const;
 };
 
 /**
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -67,8 +67,11 @@
                 const auto bytes = encodePeerMessage(peer.heartbeat(revisions[name], {}));
                 const auto message = decodePeerMessage(bytes);
                 REQUIRE(isOk(message));
-                for (const endpoint &to : peer.targets(false, now).all()) {
-                    deliver(valueOf(message), to);
+                const heartbeat_targets targets = peer.targets(false, now);
+                for (const auto *some : {&targets.near, &targets.far}) {
+                    for (const endpoint &to : *some) {
+                        deliver(valueOf(message), to);
+                    }
                 }
             }
         }
