--- a/packages/forwarding/connection/flow_table.cpp
+++ b/packages/forwarding/connection/flow_table.cpp
@@ -18,8 +18,21 @@
 // acknowledgements that a caller sends after its FIN.
 constexpr duration FinishedLifetime = 1s;
 
+// More bytes than a caller sends on one flow. An opening packet whose sequence is further behind
+// the flow's data belongs to another flow.
+constexpr std::uint32_t MaxFlowBytes = 16U << 20;
+
 } // namespace
 
+bool flow_table_entry::isReusedBy(std::uint32_t newSequence) const
+{
+    if (openingSequence) {
+        return newSequence != *openingSequence;
+    }
+    // The opening packet passed another instance; its sequence lies before all data of the flow.
+    return state != phase::Opening && nextSequence - newSequence > MaxFlowBytes;
+}
+
 bool flow_table_entry::wasOfferedTo(server_key key) const
 {
     return std::find(offers.begin(), offers.begin() + offerCount, key)
--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +32,7 @@
     std::uint8_t offerCount = 0;
     /** The caller has sent a request and acknowledged no part of the answer. */
     bool requestPending = false;
+    std::optional<std::uint32_t> openingSequence; ///< Of the opening packet, if it passed here.
     std::uint32_t nextSequence = 0; ///< End of the data that the caller has sent.
     std::uint32_t deliveredSequence = 0; ///< The server must have received all data before this.
     std::uint32_t acknowledged = 0; ///< Highest acknowledgement number of the caller.
@@ -41,6 +43,11 @@
     time_point lastSeen;
 
     bool wasOfferedTo(server_key key) const;
+    /**
+     * Returns whether an opening packet with the sequence belongs to a new flow of a caller that
+     * uses the port again, and not to this flow.
+     */
+    bool isReusedBy(std::uint32_t newSequence) const;
 };
 
 /**
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -145,6 +145,9 @@
         // Another instance may have forwarded an earlier copy, so the flow may be open already.
         return refuse(packet, forwarding_refusal::NoRoute, !isCopy);
     }
+    if (record && record->isReusedBy(packet.sequence)) {
+        reuse(*record, now);
+    }
     if (record && record->state == flow_table_entry::phase::Open) {
         const directory_server *server = m_directory->byToken(tokenOf(record->server));
         if (server) {
@@ -179,6 +182,9 @@
         if (!record) {
             record = m_flows.add(packet.flow, now);
         }
+        if (record) {
+            record->openingSequence = packet.sequence;
+        }
         return place(packet.flow, *service, *choice, packet.acknowledged, record, now);
     }
     if (offeredBefore) {
@@ -274,6 +280,9 @@
     // of the opening packet may be placed.
     if (!record && !isCopy) {
         record = m_flows.add(packet.flow, now);
+        if (record) {
+            record->openingSequence = packet.sequence;
+        }
     }
     const bool neverOffered = record && record->offerCount == 0;
     return refuse(packet, forwarding_refusal::Overloaded,
@@ -429,6 +438,17 @@
     }
 }
 
+void forwarder::reuse(flow_table_entry &record, time_point now)
+{
+    if (record.state == flow_table_entry::phase::Opening && record.offerCount > 0) {
+        m_evidence.onWithdrawnOffer(record.server);
+    }
+    finish(record);
+    record = flow_table_entry{};
+    record.firstSeen = now;
+    record.lastSeen = now;
+}
+
 forwarding_decision forwarder::refuse(const flow_packet &packet, forwarding_refusal reason,
                                       bool reset)
 {
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -157,6 +157,8 @@
     void trackData(const flow_packet &packet, flow_table_entry &record, time_point lastSeen,
                    time_point now);
     void finish(flow_table_entry &record);
+    /** Ends the flow of an entry and prepares it for a new flow from the same port. */
+    void reuse(flow_table_entry &record, time_point now);
 
     placement m_placement;
     forwarding_observer &m_observer;
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -703,4 +703,49 @@
     CHECK(small.flowCount() == 1);
 }
 
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "port used again, earlier flow open at a draining server, is placed anew")
+{
+    auto [first, token] = openFlow();
+    const server_key server = serverOf(subject.decide(laterPacket(first, token, 1, 300, 1), now));
+    registered_server draining = samples::entry(server.value, "a");
+    draining.draining = true;
+    applyObject(draining);
+    publish();
+    CHECK(serverOf(subject.decide(first, now)) == server);
+    first.sequence = 0x40000000;
+    const server_key chosen = serverOf(subject.decide(first, now));
+    CHECK(chosen != server);
+    CHECK(chosen != server_key{});
+    CHECK(subject.evidence().condition(server).openFlows == 0);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "port used again, earlier flow opened at another instance, is placed anew")
+{
+    flow_packet first = newFlow();
+    const server_key server{1};
+    subject.decide(laterPacket(first, tokenOf(server), 5'000, 300, 1), now);
+    registered_server draining = samples::entry(server.value, "a");
+    draining.draining = true;
+    applyObject(draining);
+    publish();
+    first.sequence = 4'000;
+    CHECK(serverOf(subject.decide(first, now)) == server);
+    first.sequence = 0x40000000;
+    CHECK(serverOf(subject.decide(first, now)) != server);
+}
+
+TEST_CASE_FIXTURE(forwarder_fixture,
+                  "port used again, earlier offer unanswered, counts as no silence of the server")
+{
+    flow_packet first = newFlow();
+    const server_key server = serverOf(subject.decide(first, now));
+    now += 40ms;
+    first.sequence = 0x40000000;
+    CHECK(serverOf(subject.decide(first, now)) != server_key{});
+    CHECK(observer.placements.size() == 2);
+    CHECK(subject.evidence().condition(server).silences == 0);
+}
+
 } // namespace ebonyway
