--- a/tests/emulator/fleet_start_test.cpp
+++ b/tests/emulator/fleet_start_test.cpp
@@ -14,8 +14,8 @@
 // may use a quarter of it: one call for each of 195 instances. Reading goes on meanwhile.
 constexpr std::uint64_t MaxCallsOfStart = 200;
 
-// On a day with trouble the target is a price of 0.010 of the day's worth, which is 600 calls. The
-// restart of half of the instances may use half of it.
+// The target of a day with restarts is 600 store calls. A restart of half of the instances may use
+// half of them.
 constexpr std::uint64_t MaxCallsOfRestarts = 300;
 
 /** 195 instances in five failure domains before 290 backend servers, with little load. */
@@ -50,7 +50,8 @@
     CHECK(report.storeCalls < MaxCallsOfStart);
 }
 
-TEST_CASE_FIXTURE(large_fleet_fixture, "rolling restart, 195 instances, needs few store calls")
+TEST_CASE_FIXTURE(large_fleet_fixture,
+                  "90 of 195 instances, killed at once, restart with few store calls")
 {
     plan.length = 5s;
     const std::uint64_t calm = play().storeCalls;
