Log each pull of knowledge and how long the instance was behind; count revisions by kind

How long a change takes to an instance, and through whom it came, could not be read from the logs: pulls that succeeded left no line, and no metric compared the revisions of two instances. Now knowledge_pulled and knowledge_not_pulled carry behind_ms, and store_revision{kind} is on the metrics page.

--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -289,6 +289,12 @@
     samples.push_back({"desired_version",
                        {},
                        static_cast<double>(m_instanceControl.knowledge().desiredVersion())});
+    for (const store_kind kind : AllStoreKinds) {
+        const std::uint64_t revision =
+                m_instanceControl.knowledge().revisions()[static_cast<std::size_t>(kind)];
+        samples.push_back(
+                {"store_revision", {{"kind", storeKindName(kind)}}, static_cast<double>(revision)});
+    }
     samples.push_back({"backend_servers",
                        {},
                        static_cast<double>(m_instanceControl.knowledge().serverCount())});
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -172,13 +172,21 @@
 void instance_control::onKnowledge(const endpoint &from, const result<exported_knowledge> &outcome,
                                    time_point now)
 {
+    const std::int64_t behind = toMillis(m_behindSince ? now - *m_behindSince : duration::zero());
     if (!isOk(outcome)) {
         m_log.write({log_level::Warn,
                      "knowledge_not_pulled",
-                     {{"from", from.toString()}, {"detail", errorOf(outcome).message}}});
+                     {{"from", from.toString()},
+                      {"detail", errorOf(outcome).message},
+                      {"behind_ms", behind}}});
         return;
     }
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
+    m_log.write({log_level::Info,
+                 "knowledge_pulled",
+                 {{"from", from.toString()},
+                  {"changes", std::uint64_t{changes.size()}},
+                  {"behind_ms", behind}}});
     if (!changes.empty() && m_follower.isReading() && m_snapshot) {
         // A working watch would have delivered these changes first, so the watches may be dead.
         m_log.write({log_level::Warn, "store_watch_lags", {{"from", from.toString()}}});
