Restart a watch that stays silent although the store has changed

Class: the state of one connection was taken for the state of another. Change: the watch of the desired state is answered every 1.5 s and tells the store's revision. Another watch that was started at an older revision and does not report within 500 ms is started again on a new connection. Test: 'watch without an answer, store has changed*' (0 of 3 checks held before); '*store unchanged*' holds before and after. Not shown: that this is what the operators saw.

--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -29,6 +29,12 @@
 constexpr duration WatchWait = 25s;
 constexpr duration WatchTimeout = 27s;
 
+// Time that a pending watch is given to report a change after the probe has shown that the store
+// changed. The store answers all watches of a change at once; sixty times slower than usual, it
+// needs 240 ms. A watch that stays silent may have lost its answer on a connection that still
+// looks alive, and the limit for drains to take effect is 3 s.
+constexpr duration MaxWatchLag = 500ms;
+
 // Pause after changes of backend servers before they are watched again, so that one call returns
 // all changes of a release or a mass restart. Short against the 3 s within which a drain must take
 // effect.
@@ -95,6 +101,14 @@
     if (!m_isReading || (m_lostSince && now < m_retryAt)) {
         return step;
     }
+    for (const store_kind kind : AllStoreKinds) {
+        if (!isStale(kind, now)) {
+            continue;
+        }
+        step.cancels.push_back(kind);
+        stateOf(kind).hasPendingCall = false;
+        m_events.push_back({"store_watch_stale", kind, "", m_storeRevision, {}});
+    }
     for (const store_kind kind : AllStoreKinds) {
         if (m_lostSince && kind != ProbeKind) {
             continue;
@@ -112,11 +126,32 @@
             restartList(state);
         }
         state.hasPendingCall = true;
+        state.storeRevisionAtCall = std::max(m_storeRevision, state.revision);
+        state.behindSince.reset();
         step.calls.push_back(call);
     }
     return step;
 }
 
+bool store_follower::isStale(store_kind kind, time_point now)
+{
+    const follow_state &state = stateOf(kind);
+    return state.hasPendingCall && state.currentStage == stage::Watching && state.behindSince
+           && now - *state.behindSince >= MaxWatchLag;
+}
+
+void store_follower::noteStoreRevision(std::uint64_t revision, time_point now)
+{
+    m_storeRevision = std::max(m_storeRevision, revision);
+    for (const store_kind kind : AllStoreKinds) {
+        follow_state &state = stateOf(kind);
+        const bool isBehind = kind != ProbeKind && state.storeRevisionAtCall < m_storeRevision;
+        if (isBehind && !state.behindSince) {
+            state.behindSince = now;
+        }
+    }
+}
+
 void store_follower::setReading(bool reading)
 {
     if (reading == m_isReading) {
@@ -159,7 +194,12 @@
         return;
     }
     recordAnswer(kind, now);
-    onPage(kind, std::get<store_page>(answer), now);
+    const auto &page = std::get<store_page>(answer);
+    if (kind == ProbeKind) {
+        // Only the probe is answered every few seconds even if nothing changes.
+        noteStoreRevision(page.revision, now);
+    }
+    onPage(kind, page, now);
 }
 
 void store_follower::recordAnswer(store_kind kind, time_point now)
--- a/packages/forwarding/process/store_follower.h
+++ b/packages/forwarding/process/store_follower.h
@@ -81,6 +81,9 @@
         bool hasPendingCall = false;
         time_point nextCallAt; ///< Earliest time of the next call.
         std::uint64_t revision = 0; ///< Revision from which to watch.
+        std::uint64_t storeRevisionAtCall = 0; ///< Of the store, as known when the call started.
+        /** Set while the store is known to have changed since the pending call started. */
+        std::optional<time_point> behindSince;
         std::uint64_t listRevision = 0; ///< Revision of the first page of the running list.
         std::string afterName; ///< Last name of the previous page of the running list.
         std::set<std::string> listedNames; ///< Objects on the pages of the running list so far.
@@ -90,6 +93,8 @@
     void onPage(store_kind kind, const store_page &page, time_point now);
     void onFailure(store_kind kind, const store_failure &failure, time_point now);
     void recordAnswer(store_kind kind, time_point now);
+    void noteStoreRevision(std::uint64_t revision, time_point now);
+    bool isStale(store_kind kind, time_point now);
     void restartList(follow_state &state);
     store_call callFor(store_kind kind, const follow_state &state) const;
     follow_state &stateOf(store_kind kind) { return m_states[static_cast<std::size_t>(kind)]; }
@@ -97,6 +102,8 @@
     directory_builder &m_knowledge;
     seeded_random m_random;
     std::array<follow_state, StoreKindCount> m_states;
+    std::uint64_t m_storeRevision =
+            0; ///< Highest revision of the store in an answer for the probe.
     std::optional<time_point> m_lostSince; ///< Start of the current outage of the store.
     unsigned m_failures = 0; ///< Consecutive failed retries.
     time_point m_retryAt;
--- a/tests/forwarding/process/store_follower_test.cpp
+++ b/tests/forwarding/process/store_follower_test.cpp
@@ -51,6 +51,23 @@
         subject.onAnswer(kind, store_failure{cause, "test"}, now);
     }
 
+    /** Answers the watch of the desired state whenever its wait is over, and nothing else. */
+    void answerProbesUntil(time_point end, std::uint64_t revision)
+    {
+        for (time_point nextAnswer = now + 1'500ms; now < end; now += 50ms) {
+            if (now >= nextAnswer) {
+                answer(store_kind::DesiredState, {{}, revision, false, ""});
+                nextAnswer = now + 1'500ms;
+            }
+            advance();
+            for (const store_call &call : step.calls) {
+                laterCalls.push_back(call.kind);
+            }
+        }
+    }
+
+    std::vector<store_kind> laterCalls;
+
     bool hasEvent(const std::string &name)
     {
         const auto events = subject.takeEvents();
@@ -159,6 +176,24 @@
     CHECK(knowledge.snapshot()->candidates("desk").empty());
 }
 
+TEST_CASE_FIXTURE(follower_fixture,
+                  "watch without an answer, store has changed, is restarted within the drain limit")
+{
+    listAll();
+    answerProbesUntil(now + 3s, 21);
+    CHECK(std::ranges::count(laterCalls, store_kind::BackendServers) == 1);
+    CHECK(std::ranges::count(laterCalls, store_kind::Evacuations) == 1);
+    CHECK(hasEvent("store_watch_stale"));
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "watch without an answer, store unchanged, is left alone")
+{
+    listAll();
+    answerProbesUntil(now + 20s, 20);
+    CHECK(std::ranges::count(laterCalls, store_kind::BackendServers) == 0);
+    CHECK(std::ranges::count(laterCalls, store_kind::Evacuations) == 0);
+}
+
 TEST_CASE_FIXTURE(follower_fixture, "paused process, all calls, are restarted")
 {
     listAll();
