Ask another instance after one has not handed over its knowledge

Class: a preferred source that is never given up. The log line already said that another one is asked next. Change: after a failed pull the instance is asked for 1.5 s only if no other has newer knowledge. Test: 'instance with newer knowledge, does not hand it over*' fails without the change (asked the same one).

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -179,6 +179,7 @@
                      {{"from", from.toString()},
                       {"detail", errorOf(outcome).message},
                       {"behind_ms", behind}}});
+        m_peers.onPullFailed(from, now);
         return;
     }
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -40,6 +40,10 @@
 // on average, so two seconds without one are unlikely to be chance.
 constexpr duration SparseLiveTimeout = 2s;
 
+// Time during which an instance that has not handed over its knowledge is asked only if no other
+// has it. A failed pull takes 500 ms, so two others can be asked meanwhile.
+constexpr duration FailedPullAvoidance = 1500ms;
+
 // Maximum number of other instances listed in a heartbeat; at 60 bytes each they leave room for
 // loads.
 constexpr std::size_t MaxListedPeers = 6;
@@ -93,7 +97,8 @@
     if (isOlder && isLive(peer, now)) {
         return;
     }
-    peer = peer_record{message.sender, message.revisions, message.loads, now, true};
+    peer = peer_record{message.sender, message.revisions, message.loads, now,
+                       true,           peer.pullFailedAt};
     for (const peer_entry &entry : message.otherPeers) {
         addReportedPeer(entry, now);
     }
@@ -191,6 +196,7 @@
                                                                   time_point now) const
 {
     const peer_record *best = nullptr;
+    std::pair<bool, bool> bestRank;
     for (const auto &[name, peer] : m_peers) {
         if (!isLive(peer, now)) {
             continue;
@@ -199,15 +205,26 @@
         for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
             knowsMore = knowsMore || peer.revisions[kind] > own[kind];
         }
-        const bool isCloser = best && best->entry.failureDomain != m_self.failureDomain
-                              && peer.entry.failureDomain == m_self.failureDomain;
-        if (knowsMore && (!best || isCloser)) {
+        const bool hasJustFailed =
+                peer.pullFailedAt && now - *peer.pullFailedAt < FailedPullAvoidance;
+        const std::pair rank(!hasJustFailed, peer.entry.failureDomain == m_self.failureDomain);
+        if (knowsMore && (!best || rank > bestRank)) {
             best = &peer;
+            bestRank = rank;
         }
     }
     return best ? std::optional(best->entry.address) : std::nullopt;
 }
 
+void peer_directory::onPullFailed(const endpoint &address, time_point now)
+{
+    for (auto &[name, peer] : m_peers) {
+        if (peer.entry.address == address) {
+            peer.pullFailedAt = now;
+        }
+    }
+}
+
 std::set<std::string> peer_directory::silentDomains(time_point now) const
 {
     std::set<std::string> silent;
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -20,6 +20,8 @@
     std::vector<peer_server_load> loads;
     time_point heardAt; ///< Time of the peer's last message, or of its first mention by another.
     bool heardDirectly = false; ///< The peer has sent a message; otherwise only others reported it.
+    std::optional<time_point>
+            pullFailedAt; ///< Time of the last pull that this peer did not answer.
 };
 
 /** Recipients of a heartbeat. */
@@ -64,12 +66,15 @@
     bool hearsStoreReader(time_point now) const;
 
     /**
-     * Returns the address of a live instance with a newer revision of some kind, preferably in the
-     * own failure domain.
+     * Returns the address of a live instance with a newer revision of some kind: preferably one
+     * that has not just failed to hand over its knowledge, then one in the own failure domain.
      */
     std::optional<endpoint> findPeerWithNewerRevision(const known_revisions &own,
                                                       time_point now) const;
 
+    /** Must be called when the instance at `address` has not handed over its knowledge. */
+    void onPullFailed(const endpoint &address, time_point now);
+
     /**
      * Returns the other failure domains whose instances are all silent although some of them were
      * heard in the last minute: the domain is unreachable from here or has no instance left.
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -143,6 +143,23 @@
     CHECK_FALSE(instances.at("three").findPeerWithNewerRevision(revisions["three"], now));
 }
 
+TEST_CASE_FIXTURE(peers_fixture,
+                  "instance with newer knowledge, does not hand it over, is replaced as the source")
+{
+    revisions["four"][1] = 9;
+    revisions["three"][1] = 9;
+    advance(500ms);
+    peer_directory &subject = instances.at("one");
+    subject.onPullFailed(samples::address(0x0a010003, 7720), now);
+    const auto source = subject.findPeerWithNewerRevision(revisions["one"], now);
+    REQUIRE(source);
+    CHECK(source->address.toV4() == 0x0a010004);
+    subject.onPullFailed(samples::address(0x0a010004, 7720), now);
+    CHECK(subject.findPeerWithNewerRevision(revisions["one"], now));
+    advance(2s);
+    CHECK(subject.findPeerWithNewerRevision(revisions["one"], now)->address.toV4() == 0x0a010003);
+}
+
 TEST_CASE_FIXTURE(peers_fixture, "instance with newer knowledge, dead, is not used as a source")
 {
     revisions["four"][1] = 9;
