Accept the connections of a whole failure domain at once

The listener also closed connections above 64. Class: a limit sized for a few callers on a path that a whole domain uses. The delay grows with the number of instances. Change: 256 connections, all of which may wait to be accepted; the capacity plan has 96 instances in a domain. Not changed: the sync server of the tunnel frame, whose callers choose among all peers and avoid one that failed.

--- a/packages/io/http_listener.cpp
+++ b/packages/io/http_listener.cpp
@@ -10,8 +10,13 @@
 
 namespace {
 
-// Health checkers and scrapers use a few connections; more would be a fault or an attack.
-constexpr std::size_t MaxConnections = 64;
+// Maximum number of open connections. Health checkers and scrapers use a few, but after a change
+// all instances of a failure domain (96 in the capacity plan) call the one that reads the store.
+constexpr std::size_t MaxConnections = 256;
+
+// Connections that may wait to be accepted. A caller that finds the queue full tries again only
+// after a second or more.
+constexpr int AcceptQueueLength = MaxConnections;
 
 // Longest accepted path; the pages have short ones.
 constexpr std::size_t MaxPathBytes = 1'024;
@@ -42,7 +47,7 @@
 
 status http_listener::open(const endpoint &local)
 {
-    if (m_acceptor.open(toAceAddress(local), 1) != 0) {
+    if (m_acceptor.open(toAceAddress(local), 1, PF_UNSPEC, AcceptQueueLength) != 0) {
         return error{error_kind::Unavailable, "cannot listen on TCP " + local.toString(),
                      "Stop the process that uses the port or change it in the settings."};
     }
