Pass on to peers that an entry has lapsed in an outage of the store

A server whose entry lapses while the store is away stays usable for 2.2 s after its return, at the instance that reads the store. That instance sent it to its peers as a server like any other, and when the grace period ended there, the revision did not change, so no peer asked again: at all instances but the readers the server stayed usable until another server changed. Class: state that is derived from time and not from a revision was left out of the knowledge that instances exchange. Change: exported knowledge carries the rest of the grace period; the receiver ends it itself. Test: 'lapsed server, known from a peer only*' (still usable after 2.3 s before the change). Not shown: that this is what the operators saw.

--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -265,9 +265,22 @@
     }
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
+    takeOverLapses(exported.servers, now);
     return changes;
 }
 
+void directory_builder::takeOverLapses(const std::vector<exported_object> &servers, time_point now)
+{
+    for (const exported_object &item : servers) {
+        const auto found = m_servers.find(item.name);
+        if (!item.graceRemaining || found == m_servers.end()
+            || found->second.server.revision > item.revision || found->second.departedAt) {
+            continue;
+        }
+        found->second.lapsesAt = now + *item.graceRemaining;
+    }
+}
+
 exported_knowledge directory_builder::exportKnowledge(time_point now) const
 {
     exported_knowledge exported;
@@ -288,13 +301,17 @@
         if (known.departedAt) {
             continue;
         }
-        exported_object item{name, known.server.revision, known.server.entry};
+        exported_object item{name, known.server.revision, known.server.entry, {}};
         item.server.coldRemaining = std::chrono::ceil<std::chrono::milliseconds>(
                 std::max(duration::zero(), known.server.coldUntil - now));
+        if (known.lapsesAt) {
+            item.graceRemaining = std::chrono::ceil<std::chrono::milliseconds>(
+                    std::max(duration::zero(), *known.lapsesAt - now));
+        }
         exported.servers.push_back(std::move(item));
     }
     for (const auto &[domain, revision] : m_evacuations) {
-        exported.evacuations.push_back({domain, revision, {}});
+        exported.evacuations.push_back({domain, revision, {}, {}});
     }
     return exported;
 }
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -87,6 +87,8 @@
     std::vector<directory_change> applyEvacuation(const store_object &object, time_point now);
     directory_change removeServer(const std::string &name, known_server &known,
                                   std::uint64_t revision, time_point now);
+    /** Marks as lapsed here too what has lapsed at the instance that sent its knowledge. */
+    void takeOverLapses(const std::vector<exported_object> &servers, time_point now);
     void markColdAfterEvacuation(const std::string &failureDomain, time_point now);
     duration coldDurationOf(const std::string &service) const;
 
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -3,7 +3,9 @@
 #include "forwarding/version/store_objects.h"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,11 +20,17 @@
     std::string name;
     std::uint64_t revision = 0;
     registered_server server; ///< Set only for backend servers.
+    /** Set if the entry has lapsed: how much longer it counts as present. */
+    std::optional<std::chrono::milliseconds> graceRemaining;
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        archive(name, revision, server);
+        bool hasLapsed = graceRemaining.has_value();
+        auto grace = static_cast<std::uint64_t>(
+                graceRemaining.value_or(std::chrono::milliseconds(0)).count());
+        archive(name, revision, server, hasLapsed, grace);
+        graceRemaining = hasLapsed ? std::optional(std::chrono::milliseconds(grace)) : std::nullopt;
     }
 };
 
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -184,6 +184,26 @@
     CHECK(subject.revisions() == known_revisions{45, 45, 45});
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "lapsed server, known from a peer only, departs when it does not register again")
+{
+    directory_builder peer{{1'200ms}};
+    subject.advanceRevision(store_kind::BackendServers, 12);
+    peer.integrate(subject.exportKnowledge(now), now);
+    subject.onStoreRegained(now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    subject.advanceRevision(store_kind::BackendServers, 30);
+    const time_point later = now + 1s;
+    peer.integrate(subject.exportKnowledge(later), later);
+    const auto availabilityAtPeer = [&] {
+        return peer.snapshot()->byToken(tokenOf(server_key{1}))->availability;
+    };
+    peer.expire(now + 1'900ms);
+    CHECK(availabilityAtPeer() == server_availability::Usable);
+    peer.expire(now + 2'300ms);
+    CHECK(availabilityAtPeer() == server_availability::Departed);
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "peer knowledge, older, changes nothing")
 {
     directory_builder peer{{}};
