--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -169,6 +169,9 @@
 
 store_answer emulated_instance::withoutOmitted(store_kind kind, store_answer answer)
 {
+    if (omits(omitted_mechanism::StoreEra)) {
+        setEra(answer, 0);
+    }
     auto *page = std::get_if<store_page>(&answer);
     if (!page) {
         return answer;
--- a/packages/emulator/emulated_instance.h
+++ b/packages/emulator/emulated_instance.h
@@ -22,6 +22,7 @@
     EvacuationNews,
     SharedColdRate, ///< Each instance takes the whole rate of a cold server for itself.
     PeerEvidence, ///< Every suspicion counts as confirmed, and nothing contradicts it.
+    StoreEra, ///< Instances do not hear in which era the store answers.
     StoreAfterRestart, ///< An instance that starts again learns nothing.
 };
 
--- a/packages/emulator/emulated_store.cpp
+++ b/packages/emulator/emulated_store.cpp
@@ -1,5 +1,6 @@
 #include "emulator/emulated_store.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -27,14 +28,14 @@
 
 std::uint64_t emulated_store::put(store_kind kind, const std::string &name, store_value value)
 {
-    record(kind, {name, ++m_revision, false, std::move(value), {}});
+    record(kind, {name, ++m_revision, false, std::move(value), {}, m_era});
     return m_revision;
 }
 
 void emulated_store::remove(store_kind kind, const std::string &name)
 {
     if (m_objects[indexOf(kind)].contains(name)) {
-        record(kind, {name, ++m_revision, true, {}, {}});
+        record(kind, {name, ++m_revision, true, {}, {}, m_era});
     }
 }
 
@@ -46,7 +47,7 @@
     } else {
         objects[object.name] = object;
     }
-    m_history[indexOf(kind)].push_back(std::move(object));
+    m_history[indexOf(kind)].push_back({std::move(object), m_queue.now()});
     answerWatches(kind);
 }
 
@@ -76,6 +77,57 @@
     }
 }
 
+void emulated_store::restoreCopy(time_point copyTime, duration rewriteDelay)
+{
+    ++m_era;
+    m_revision = InitialRevision;
+    for (const store_kind kind : AllStoreKinds) {
+        auto &history = m_history[indexOf(kind)];
+        auto &objects = m_objects[indexOf(kind)];
+        objects.clear();
+        std::map<std::string, store_object> lost;
+        for (const recorded_change &change : history) {
+            if (change.at > copyTime) {
+                lost[change.object.name] = change.object;
+                continue;
+            }
+            m_revision = std::max(m_revision, change.object.revision);
+            objects.erase(change.object.name);
+            if (!change.object.deleted) {
+                objects[change.object.name] = change.object;
+            }
+        }
+        std::erase_if(history,
+                      [copyTime](const recorded_change &one) { return one.at > copyTime; });
+        m_queue.after(rewriteDelay, [this, kind, lost = std::move(lost)] {
+            for (const auto &[name, object] : lost) {
+                writeAgain(kind, object);
+            }
+        });
+    }
+    m_historyFrom = std::min(m_historyFrom, m_revision);
+}
+
+void emulated_store::writeAgain(store_kind kind, const store_object &object)
+{
+    const auto &objects = m_objects[indexOf(kind)];
+    const auto held = objects.find(object.name);
+    // Its writer has already written a later state.
+    const bool isOvertaken =
+            std::any_of(m_history[indexOf(kind)].begin(), m_history[indexOf(kind)].end(),
+                        [&](const recorded_change &change) {
+                            return change.object.era == m_era && change.object.name == object.name;
+                        });
+    if (isOvertaken) {
+        return;
+    }
+    if (!object.deleted) {
+        record(kind, {object.name, ++m_revision, false, object.value, {}, m_era});
+    } else if (held != objects.end()) {
+        record(kind, {object.name, ++m_revision, true, {}, {}, m_era});
+    }
+}
+
 void emulated_store::start(const place &instance, const store_call &call,
                            store_port::answer_handler onAnswer)
 {
@@ -118,8 +170,8 @@
         answer(number, listed(call.kind));
         return;
     }
-    if (call.revision < m_historyFrom) {
-        answer(number, store_failure{store_failure::cause::HistoryGone, "history dropped"});
+    if (call.revision < m_historyFrom || call.revision > m_revision) {
+        answer(number, store_failure{store_failure::cause::HistoryGone, "no such history"});
         return;
     }
     store_page events = eventsAfter(call.kind, call.revision);
@@ -138,6 +190,7 @@
 
 void emulated_store::answer(std::uint64_t number, store_answer outcome)
 {
+    setEra(outcome, m_era);
     const auto found = m_calls.find(number);
     const place instance = found->second.instance;
     found->second.arrived = false;
@@ -183,9 +236,9 @@
 {
     store_page page;
     page.revision = m_revision;
-    for (const store_object &object : m_history[indexOf(kind)]) {
-        if (object.revision > revision) {
-            page.objects.push_back(object);
+    for (const recorded_change &change : m_history[indexOf(kind)]) {
+        if (change.object.revision > revision) {
+            page.objects.push_back(change.object);
         }
     }
     return page;
--- a/packages/emulator/emulated_store.h
+++ b/packages/emulator/emulated_store.h
@@ -33,6 +33,11 @@
     void setSlowness(std::uint32_t factor) { m_slowness = factor; }
     /** Drops the history and ends all watches. */
     void dropHistory();
+    /**
+     * Takes the store back to what it held at `copyTime` and begins a new era. What was written
+     * since is lost; after `rewriteDelay` its writers write the last state of each object again.
+     */
+    void restoreCopy(time_point copyTime, duration rewriteDelay);
 
     /** Starts an instance's call. The answer comes later, also as a failure after the time limit.
      */
@@ -41,6 +46,8 @@
     std::uint64_t callCount() const { return m_callCount; }
 
 private:
+    static constexpr std::uint64_t InitialRevision = 1;
+
     struct pending_call
     {
         std::uint64_t number = 0;
@@ -56,15 +63,24 @@
     store_page listed(store_kind kind) const;
     store_page eventsAfter(store_kind kind, std::uint64_t revision) const;
     void record(store_kind kind, store_object object);
+    /** Writes or removes the object if the store holds another state of it. */
+    void writeAgain(store_kind kind, const store_object &object);
+
+    struct recorded_change
+    {
+        store_object object;
+        time_point at;
+    };
 
     event_queue &m_queue;
     emulated_network &m_network;
     store_condition m_condition = store_condition::Serving;
     std::uint32_t m_slowness = 1;
-    std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 1;
+    std::uint64_t m_revision = InitialRevision;
     std::uint64_t m_historyFrom = 0; ///< Changes up to here are gone.
     std::array<std::map<std::string, store_object>, StoreKindCount> m_objects;
-    std::array<std::vector<store_object>, StoreKindCount> m_history;
+    std::array<std::vector<recorded_change>, StoreKindCount> m_history;
     std::map<std::uint64_t, pending_call> m_calls;
     std::uint64_t m_callCount = 0;
 };
--- a/packages/emulator/emulation_events.cpp
+++ b/packages/emulator/emulation_events.cpp
@@ -17,6 +17,7 @@
 constexpr duration RestartTime = 600ms; // Until the platform starts a process again.
 constexpr duration DrainTime = 3s; // A server serves on after it has announced its end.
 constexpr duration AddressReuse = 2s;
+constexpr duration RewriteDelay = 1s; // Until what an older copy of the store lacks is back.
 constexpr duration StopPoll = 50ms;
 constexpr duration StopGrace = 6s;
 
@@ -40,7 +41,8 @@
         playOnInstances(event);
     } else if (kind.starts_with("server_")) {
         playOnServers(event);
-    } else if (isOneOf(kind, {"store_silent", "store_busy", "store_slow", "history_gone"})) {
+    } else if (isOneOf(kind, {"store_silent", "store_busy", "store_slow", "history_gone",
+                              "store_restored"})) {
         playOnStore(event);
     } else if (isOneOf(kind, {"domain_cut", "domain_loss", "evacuation"})) {
         playOnDomain(event);
@@ -192,6 +194,7 @@
     server.setMood(server_mood::Serving);
     registered_server &entry = server.entry();
     entry.startedAt += std::chrono::milliseconds(1);
+    entry.reportCount = 0;
     entry.coldRemaining = serviceOf(key).coldTime;
     server.setColdUntil(m_queue.now() + entry.coldRemaining);
     m_store.put(store_kind::BackendServers, storeName(key), entry);
@@ -205,6 +208,7 @@
     }
     server.setMood(server_mood::Draining);
     server.entry().draining = true;
+    ++server.entry().reportCount;
     m_store.put(store_kind::BackendServers, storeName(key), server.entry());
     m_monitor.noteDraining(key);
     m_queue.after(DrainTime, [this, key] {
@@ -277,6 +281,16 @@
         m_queue.after(event.length, [this] { m_store.setSlowness(1); });
         return;
     }
+    if (event.kind == "store_restored") {
+        const time_point copyTime = m_queue.now() - std::chrono::seconds(event.strength);
+        m_monitor.noteStoreDisturbed(m_queue.now() + event.length + RewriteDelay);
+        m_store.setCondition(store_condition::Silent);
+        m_queue.after(event.length, [this, copyTime] {
+            m_store.restoreCopy(copyTime, RewriteDelay);
+            m_store.setCondition(store_condition::Serving);
+        });
+        return;
+    }
     m_store.setCondition(event.kind == "store_busy" ? store_condition::TurningAway
                                                     : store_condition::Silent);
     m_queue.after(event.length, [this] { m_store.setCondition(store_condition::Serving); });
--- a/packages/emulator/scenario.cpp
+++ b/packages/emulator/scenario.cpp
@@ -124,12 +124,12 @@
 const std::vector<std::string> &scenarioEventKinds()
 {
     static const std::vector<std::string> Kinds{
-            "instance_kill", "instance_freeze", "rolling_stop",      "instance_cut",
-            "store_cut",     "store_silent",    "store_busy",        "store_slow",
-            "history_gone",  "server_crash",    "server_replace",    "server_reuse",
-            "server_drain",  "server_slow",     "server_hang",       "domain_cut",
-            "domain_loss",   "evacuation",      "route_added",       "route_removed",
-            "loss",          "burst",           "all_instances_kill"};
+            "instance_kill", "instance_freeze", "rolling_stop",       "instance_cut",
+            "store_cut",     "store_silent",    "store_busy",         "store_slow",
+            "history_gone",  "server_crash",    "server_replace",     "server_reuse",
+            "server_drain",  "server_slow",     "server_hang",        "domain_cut",
+            "domain_loss",   "evacuation",      "route_added",        "route_removed",
+            "loss",          "burst",           "all_instances_kill", "store_restored"};
     return Kinds;
 }
 
--- a/packages/emulator/scenario.h
+++ b/packages/emulator/scenario.h
@@ -53,7 +53,7 @@
     std::chrono::milliseconds length{5'000};
     std::chrono::milliseconds gap{1'000}; ///< Between the steps of rolling work.
     std::uint32_t count = 1; ///< Of instances or servers.
-    std::uint32_t strength = 1; ///< A factor, or a loss in percent.
+    std::uint32_t strength = 1; ///< A factor, a loss in percent, or the age of a copy in seconds.
     std::string failureDomain; ///< Empty: the seed chooses.
 };
 
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -290,10 +290,11 @@
                        {},
                        static_cast<double>(m_instanceControl.knowledge().desiredVersion())});
     for (const store_kind kind : AllStoreKinds) {
-        const std::uint64_t revision =
-                m_instanceControl.knowledge().revisions()[static_cast<std::size_t>(kind)];
-        samples.push_back(
-                {"store_revision", {{"kind", storeKindName(kind)}}, static_cast<double>(revision)});
+        const store_position known =
+                m_instanceControl.knowledge().positions()[static_cast<std::size_t>(kind)];
+        const std::vector<metric_label> labels{{"kind", storeKindName(kind)}};
+        samples.push_back({"store_era", labels, static_cast<double>(known.era)});
+        samples.push_back({"store_revision", labels, static_cast<double>(known.revision)});
     }
     samples.push_back({"backend_servers",
                        {},
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -121,7 +121,7 @@
         // The receiver expects ages relative to the time the message is sent.
         load.answeredAgo += std::chrono::floor<std::chrono::milliseconds>(now - m_loadsAt);
     }
-    peer_message message = m_peers.heartbeat(m_knowledge.revisions(), std::move(loads));
+    peer_message message = m_peers.heartbeat(m_knowledge.positions(), std::move(loads));
     if (!targets.near.empty()) {
         m_port.sendHeartbeat(message, targets.near);
     }
@@ -141,7 +141,7 @@
 {
     m_peers.onMessage(message, now);
     pullKnowledge(now);
-    const bool senderKnowsNothing = message.revisions == known_revisions{};
+    const bool senderKnowsNothing = message.positions == known_positions{};
     if (m_snapshot && senderKnowsNothing && message.sender.address != m_peerAddress) {
         // The sender has just started and may have to wait long for a regular heartbeat.
         sendHeartbeatTo({{message.sender.address}, {}}, now);
@@ -153,7 +153,7 @@
     if (m_port.isPulling()) {
         return;
     }
-    const auto source = m_peers.findPeerWithNewerRevision(m_knowledge.revisions(), now);
+    const auto source = m_peers.findPeerWithNewerPosition(m_knowledge.positions(), now);
     if (!source) {
         m_behindSince.reset();
         return;
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -122,7 +122,7 @@
     time_point m_loadsAt; ///< Time at which m_loads was collected.
     std::set<std::string> m_silentDomains;
     bool m_canServe = true; ///< A usable backend server is in reach, or no domain is silent.
-    std::optional<time_point> m_behindSince; ///< Set while a peer has newer revisions.
+    std::optional<time_point> m_behindSince; ///< Set while a peer has newer knowledge.
     time_point m_startedAt;
     time_point m_nextHeartbeat;
     time_point m_nextExpiry;
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -97,7 +97,7 @@
     if (isOlder && isLive(peer, now)) {
         return;
     }
-    peer = peer_record{message.sender, message.revisions, message.loads, now,
+    peer = peer_record{message.sender, message.positions, message.loads, now,
                        true,           peer.pullFailedAt};
     for (const peer_entry &entry : message.otherPeers) {
         addReportedPeer(entry, now);
@@ -109,11 +109,11 @@
     return peer.heardDirectly && now - peer.heardAt <= LiveTimeout && !peer.entry.isLeaving;
 }
 
-peer_message peer_directory::heartbeat(const known_revisions &revisions,
+peer_message peer_directory::heartbeat(const known_positions &positions,
                                        std::vector<peer_server_load> loads)
 {
     ++m_self.heartbeat;
-    peer_message message{m_self, revisions, {}, std::move(loads)};
+    peer_message message{m_self, positions, {}, std::move(loads)};
     if (m_peers.empty()) {
         return message;
     }
@@ -192,7 +192,7 @@
     });
 }
 
-std::optional<endpoint> peer_directory::findPeerWithNewerRevision(const known_revisions &own,
+std::optional<endpoint> peer_directory::findPeerWithNewerPosition(const known_positions &own,
                                                                   time_point now) const
 {
     const peer_record *best = nullptr;
@@ -203,7 +203,7 @@
         }
         bool knowsMore = false;
         for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
-            knowsMore = knowsMore || peer.revisions[kind] > own[kind];
+            knowsMore = knowsMore || peer.positions[kind] > own[kind];
         }
         const bool hasJustFailed =
                 peer.pullFailedAt && now - *peer.pullFailedAt < FailedPullAvoidance;
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -16,7 +16,7 @@
 struct peer_record
 {
     peer_entry entry;
-    known_revisions revisions{};
+    known_positions positions{};
     std::vector<peer_server_load> loads;
     time_point heardAt; ///< Time of the peer's last message, or of its first mention by another.
     bool heardDirectly = false; ///< The peer has sent a message; otherwise only others reported it.
@@ -48,7 +48,7 @@
     void onMessage(const peer_message &message, time_point now);
 
     /** Builds the next heartbeat. */
-    peer_message heartbeat(const known_revisions &revisions, std::vector<peer_server_load> loads);
+    peer_message heartbeat(const known_positions &positions, std::vector<peer_server_load> loads);
     /**
      * Returns the recipients of the next heartbeat. After a change, and always if this instance is
      * the store reader, they include all instances of the own failure domain.
@@ -66,10 +66,10 @@
     bool hearsStoreReader(time_point now) const;
 
     /**
-     * Returns the address of a live instance with a newer revision of some kind: preferably one
+     * Returns the address of a live instance with a newer position of some kind: preferably one
      * that has not just failed to hand over its knowledge, then one in the own failure domain.
      */
-    std::optional<endpoint> findPeerWithNewerRevision(const known_revisions &own,
+    std::optional<endpoint> findPeerWithNewerPosition(const known_positions &own,
                                                       time_point now) const;
 
     /** Must be called when the instance at `address` has not handed over its knowledge. */
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -35,15 +35,15 @@
 struct peer_message
 {
     peer_entry sender;
-    known_revisions revisions{};
+    known_positions positions{};
     std::vector<peer_entry> otherPeers; ///< Some of the instances that have contacted the sender.
     std::vector<peer_server_load> loads; ///< Load that the sender puts on backend servers.
 
     template <class Archive>
     void serialize(Archive &archive)
     {
-        for (std::uint64_t &revision : revisions) {
-            archive(revision);
+        for (store_position &position : positions) {
+            archive(position);
         }
         archive(sender, otherPeers, loads);
     }
--- a/packages/forwarding/process/store_call.h
+++ b/packages/forwarding/process/store_call.h
@@ -33,6 +33,7 @@
 
     cause reason = cause::Unreachable;
     std::string detail;
+    std::uint64_t era = 0; ///< See store_position; zero if the store did not tell it.
 };
 
 /** Returns the name of a cause as it appears in logs. */
@@ -40,6 +41,11 @@
 
 using store_answer = std::variant<store_page, store_failure>;
 
+/** Returns the era in which the store gave an answer; zero if the store did not tell it. */
+std::uint64_t eraOf(const store_answer &answer);
+/** Records the era in which the store gave an answer, also in the objects that it contains. */
+void setEra(store_answer &answer, std::uint64_t era);
+
 /** Performs calls to the platform's store, at most one per object kind at a time. */
 class store_port
 {
--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -46,6 +46,10 @@
 constexpr duration BaseRetryDelay = 200ms;
 constexpr duration MaxRetryDelay = 1s;
 
+// Pause after an answer that the store gave before it came back from an older copy, so that a store
+// which repeats it is not called without pause. One round trip on a slow link.
+constexpr duration OutdatedAnswerPause = 200ms;
+
 // Shortest outage of the store after which lapsed entries get a grace period. Entries lapse after
 // three missed heartbeats of their backend servers, so none can lapse in a shorter outage.
 constexpr duration MinLapsingOutage = 1s;
@@ -67,6 +71,21 @@
     return "unreachable";
 }
 
+std::uint64_t eraOf(const store_answer &answer)
+{
+    return std::visit([](const auto &outcome) { return outcome.era; }, answer);
+}
+
+void setEra(store_answer &answer, std::uint64_t era)
+{
+    std::visit([era](auto &outcome) { outcome.era = era; }, answer);
+    if (auto *page = std::get_if<store_page>(&answer)) {
+        for (store_object &object : page->objects) {
+            object.era = era;
+        }
+    }
+}
+
 store_follower::store_follower(directory_builder &knowledge, std::uint64_t seed)
     : m_knowledge(knowledge)
     , m_random(seed)
@@ -82,7 +101,7 @@
         return call;
     }
     call.isWatch = true;
-    call.revision = state.revision;
+    call.revision = state.position.revision;
     call.wait = kind == ProbeKind ? ProbeWait : WatchWait;
     call.timeout = kind == ProbeKind ? ProbeTimeout : WatchTimeout;
     return call;
@@ -91,6 +110,12 @@
 store_step store_follower::next(time_point now)
 {
     store_step step;
+    for (const store_kind kind : AllStoreKinds) {
+        const std::uint64_t known = m_knowledge.positions()[static_cast<std::size_t>(kind)].era;
+        if (known > m_era) {
+            enterEra(known, kind);
+        }
+    }
     if (std::exchange(m_restartPending, false)) {
         for (const store_kind kind : AllStoreKinds) {
             if (std::exchange(stateOf(kind).hasPendingCall, false)) {
@@ -119,6 +144,9 @@
             || (!m_mayWatch && (isLater || state.currentStage == stage::Watching))) {
             continue;
         }
+        if (state.currentStage == stage::Watching && state.position.era < m_era) {
+            restartList(state);
+        }
         store_call call = callFor(kind, state);
         if (m_lostSince && call.isWatch) {
             // A list returns at once, so it detects the recovery of the store sooner than a watch.
@@ -126,7 +154,7 @@
             restartList(state);
         }
         state.hasPendingCall = true;
-        state.storeRevisionAtCall = std::max(m_storeRevision, state.revision);
+        state.storeRevisionAtCall = std::max(m_storeRevision, call.revision);
         state.behindSince.reset();
         step.calls.push_back(call);
     }
@@ -162,18 +190,18 @@
     m_events.push_back({reading ? "store_reading_started" : "store_reading_ended",
                         store_kind::BackendServers,
                         "",
-                        stateOf(store_kind::BackendServers).revision,
+                        stateOf(store_kind::BackendServers).position.revision,
                         {}});
     for (const store_kind kind : AllStoreKinds) {
         follow_state &state = stateOf(kind);
-        const std::uint64_t known = m_knowledge.revisions()[static_cast<std::size_t>(kind)];
-        if (reading && known > 0 && state.currentStage == stage::Listing) {
+        const store_position known = m_knowledge.positions()[static_cast<std::size_t>(kind)];
+        if (reading && known != store_position{} && state.currentStage == stage::Listing) {
             // A peer has passed on all objects of the kind, so only later changes are missing.
             restartList(state);
             state.currentStage = stage::Watching;
         }
         if (state.currentStage == stage::Watching) {
-            state.revision = std::max(state.revision, known);
+            state.position = std::max(state.position, known);
         }
     }
 }
@@ -186,9 +214,15 @@
     state.awaitsFirstPage = true;
 }
 
-void store_follower::onAnswer(store_kind kind, const store_answer &answer, time_point now)
+void store_follower::onAnswer(store_kind kind, store_answer answer, time_point now)
 {
     stateOf(kind).hasPendingCall = false;
+    if (eraOf(answer) == 0) {
+        setEra(answer, m_era);
+    }
+    if (!takesEraOf(kind, answer, now)) {
+        return;
+    }
     if (const auto *failure = std::get_if<store_failure>(&answer)) {
         onFailure(kind, *failure, now);
         return;
@@ -202,6 +236,41 @@
     onPage(kind, page, now);
 }
 
+bool store_follower::takesEraOf(store_kind kind, const store_answer &answer, time_point now)
+{
+    follow_state &state = stateOf(kind);
+    const std::uint64_t era = eraOf(answer);
+    if (era < m_era) {
+        m_events.push_back({"store_answer_outdated", kind, "era " + std::to_string(era), 0, {}});
+        state.nextCallAt = now + OutdatedAnswerPause;
+        return false;
+    }
+    if (era == m_era) {
+        return true;
+    }
+    const bool isFirstPage = state.currentStage == stage::Listing && state.awaitsFirstPage;
+    enterEra(era, kind);
+    // Changes since a revision of an earlier era are not all changes, and nor are later pages.
+    return isFirstPage || std::holds_alternative<store_failure>(answer);
+}
+
+void store_follower::enterEra(std::uint64_t era, store_kind kind)
+{
+    const bool isFirst = m_era == 0 && m_knowledge.positions() == known_positions{};
+    m_era = era;
+    m_storeRevision = 0;
+    m_events.push_back({"store_era_entered", kind, "era " + std::to_string(era), 0, {}});
+    if (isFirst) {
+        return;
+    }
+    for (follow_state &state : m_states) {
+        if (state.currentStage == stage::Listing) {
+            restartList(state);
+        }
+    }
+    m_restartPending = true;
+}
+
 void store_follower::recordAnswer(store_kind kind, time_point now)
 {
     m_lastAnswer = now;
@@ -214,7 +283,7 @@
     if (outage >= MinLapsingOutage) {
         m_knowledge.onStoreRegained(now);
     }
-    m_events.push_back({"store_regained", kind, "", stateOf(kind).revision, outage});
+    m_events.push_back({"store_regained", kind, "", stateOf(kind).position.revision, outage});
 }
 
 void store_follower::onPage(store_kind kind, const store_page &page, time_point now)
@@ -228,9 +297,9 @@
         }
     }
     if (state.currentStage == stage::Watching) {
-        state.revision = std::max(state.revision, page.revision);
+        state.position = std::max(state.position, page.position());
         for (const store_object &object : page.objects) {
-            m_knowledge.advanceRevision(kind, object.revision);
+            m_knowledge.advancePosition(kind, object.position());
         }
         if (kind == store_kind::BackendServers && !page.objects.empty()) {
             state.nextCallAt = now + ServerChangePause;
@@ -238,24 +307,24 @@
         return;
     }
     if (std::exchange(state.awaitsFirstPage, false)) {
-        // The watch starts at the revision of the first page, so it repeats changes made while
+        // The watch starts at the position of the first page, so it repeats changes made while
         // later pages were listed.
-        state.listRevision = page.revision;
+        state.listPosition = page.position();
     }
     if (page.hasMore && !page.lastName.empty()) {
         state.afterName = page.lastName;
         return;
     }
-    auto changes = m_knowledge.retainListed(kind, state.listedNames, state.listRevision, now);
+    auto changes = m_knowledge.retainListed(kind, state.listedNames, state.listPosition, now);
     std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
     m_events.push_back({"store_listed",
                         kind,
                         std::to_string(state.listedNames.size()) + " objects",
-                        state.listRevision,
+                        state.listPosition.revision,
                         {}});
-    m_knowledge.advanceRevision(kind, state.listRevision);
+    m_knowledge.advancePosition(kind, state.listPosition);
     state.currentStage = stage::Watching;
-    state.revision = state.listRevision;
+    state.position = state.listPosition;
     state.listedNames.clear();
 }
 
@@ -267,7 +336,8 @@
         // again.
         recordAnswer(kind, now);
         restartList(state);
-        m_events.push_back({"store_history_gone", kind, failure.detail, state.revision, {}});
+        m_events.push_back(
+                {"store_history_gone", kind, failure.detail, state.position.revision, {}});
         return;
     }
     if (state.currentStage == stage::Listing) {
@@ -278,7 +348,7 @@
         m_events.push_back({"store_lost",
                             kind,
                             std::string(storeFailureName(failure.reason)) + ": " + failure.detail,
-                            state.revision,
+                            state.position.revision,
                             {}});
         // Watches pending at a store that has stopped answering may never return.
         m_restartPending = true;
--- a/packages/forwarding/process/store_follower.h
+++ b/packages/forwarding/process/store_follower.h
@@ -31,9 +31,9 @@
 
 /**
  * Keeps the knowledge of an instance in sync with the platform's store: lists each kind once, then
- * watches it. Recovers from lost answers, dead connections, outages and changes that are no
- * longer in the store's history. Performs no I/O itself; the caller executes the calls that next()
- * returns.
+ * watches it. Recovers from lost answers, dead connections, outages, changes that are no longer in
+ * the store's history, and a store that came back from an older copy. Performs no I/O itself; the
+ * caller executes the calls that next() returns.
  */
 class store_follower
 {
@@ -52,7 +52,8 @@
      */
     void setWatching(bool watching) { m_mayWatch = watching; }
 
-    void onAnswer(store_kind kind, const store_answer &answer, time_point now);
+    /** Takes the answer to the call for the kind. Without an era it counts as of the last one. */
+    void onAnswer(store_kind kind, store_answer answer, time_point now);
 
     /**
      * Restarts all calls. Needed after the process was paused or disconnected, as its connections
@@ -80,16 +81,18 @@
         stage currentStage = stage::Listing;
         bool hasPendingCall = false;
         time_point nextCallAt; ///< Earliest time of the next call.
-        std::uint64_t revision = 0; ///< Revision from which to watch.
+        store_position position; ///< From which to watch.
         std::uint64_t storeRevisionAtCall = 0; ///< Of the store, as known when the call started.
         /** Set while the store is known to have changed since the pending call started. */
         std::optional<time_point> behindSince;
-        std::uint64_t listRevision = 0; ///< Revision of the first page of the running list.
+        store_position listPosition; ///< Of the first page of the running list.
         std::string afterName; ///< Last name of the previous page of the running list.
         std::set<std::string> listedNames; ///< Objects on the pages of the running list so far.
         bool awaitsFirstPage = true;
     };
 
+    bool takesEraOf(store_kind kind, const store_answer &answer, time_point now);
+    void enterEra(std::uint64_t era, store_kind kind);
     void onPage(store_kind kind, const store_page &page, time_point now);
     void onFailure(store_kind kind, const store_failure &failure, time_point now);
     void recordAnswer(store_kind kind, time_point now);
@@ -102,6 +105,7 @@
     directory_builder &m_knowledge;
     seeded_random m_random;
     std::array<follow_state, StoreKindCount> m_states;
+    std::uint64_t m_era = 0; ///< Highest era of the store in an answer or in the knowledge.
     std::uint64_t m_storeRevision =
             0; ///< Highest revision of the store in an answer for the probe.
     std::optional<time_point> m_lostSince; ///< Start of the current outage of the store.
--- a/packages/forwarding/version/directory.h
+++ b/packages/forwarding/version/directory.h
@@ -21,7 +21,7 @@
 struct directory_server
 {
     registered_server entry;
-    std::uint64_t revision = 0;
+    store_position position; ///< Of the last change of the entry.
     flow_token token;
     server_availability availability = server_availability::Usable;
     bool evacuated = false;
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -11,8 +11,9 @@
 
 using namespace std::chrono_literals;
 
-// Grace period for entries that lapsed in an outage of the store. The platform guarantees that live
-// backend servers whose entries lapsed register again within about two seconds.
+// Grace period for entries that lapsed in an outage of the store, or that the store lost when it
+// came back from an older copy. The platform guarantees that live backend servers whose entries
+// lapsed register again within about two seconds.
 constexpr duration ReRegistrationTime = 2200ms;
 
 // How long a backend server is kept after its departure. The server may serve its open flows for
@@ -24,6 +25,11 @@
 // which can take up to a heartbeat interval and a store call to arrive.
 constexpr double ColdReportDelayInHeartbeats = 1.5;
 
+// Time until an entry of an older copy of the store is in effect although it contradicts a later
+// report, in heartbeat intervals. The entry of a server that is gone lapses after three, and two
+// more allow for a slow store.
+constexpr int OutdatedEntryHeartbeats = 5;
+
 std::string describeServer(const registered_server &entry)
 {
     return entry.service + " at " + entry.address.toString() + " in " + entry.failureDomain
@@ -55,7 +61,7 @@
                                                              time_point now)
 {
     const auto found = m_servers.find(object.name);
-    if (found != m_servers.end() && object.revision <= found->second.server.revision) {
+    if (found != m_servers.end() && object.position() <= found->second.server.position) {
         return {};
     }
     const auto *entry = object.value ? std::get_if<registered_server>(&*object.value) : nullptr;
@@ -67,7 +73,7 @@
             }
             return {{"backend_server_entry_ignored", object.name, object.revision, object.fault}};
         }
-        directory_change change = removeServer(object.name, found->second, object.revision, now);
+        directory_change change = removeServer(object.name, found->second, object.position(), now);
         if (unusable) {
             // An unreadable entry is no lapse, so no grace period applies: the server is unusable
             // at once.
@@ -79,37 +85,65 @@
         }
         return {change};
     }
+    const bool outdated = found != m_servers.end() && isOutdated(found->second, object, *entry);
     known_server &known = m_servers[object.name];
-    known.server.entry = *entry;
-    known.server.revision = object.revision;
-    known.server.token = tokenOf(entry->key);
+    known.server.position = object.position();
+    if (outdated) {
+        known.outdatedEntry = *entry;
+        known.outdatedUntil = now + m_times.heartbeat * OutdatedEntryHeartbeats;
+        known.lapsesAt.reset();
+        return {{"backend_server_entry_outdated", object.name, object.revision,
+                 describeServer(*entry)}};
+    }
+    adoptEntry(known, *entry, now);
+    return {{"backend_server_updated", object.name, object.revision, describeServer(*entry)}};
+}
+
+bool directory_builder::isOutdated(const known_server &known, const store_object &object,
+                                   const registered_server &entry)
+{
+    if (object.era <= known.server.position.era) {
+        return false;
+    }
+    const registered_server &last = known.server.entry;
+    const std::pair lastReport(last.startedAt, last.reportCount);
+    const std::pair report(entry.startedAt, entry.reportCount);
+    return known.departedAt ? report <= lastReport : report < lastReport;
+}
+
+void directory_builder::adoptEntry(known_server &known, const registered_server &entry,
+                                   time_point now)
+{
+    known.server.entry = entry;
+    known.server.token = tokenOf(entry.key);
     known.server.availability =
-            entry->draining ? server_availability::Draining : server_availability::Usable;
-    known.server.coldUntil = now + entry->coldRemaining;
+            entry.draining ? server_availability::Draining : server_availability::Usable;
+    known.server.coldUntil = now + entry.coldRemaining;
     known.lapsesAt.reset();
     known.departedAt.reset();
-    return {{"backend_server_updated", object.name, object.revision, describeServer(*entry)}};
+    known.outdatedEntry.reset();
 }
 
 directory_change directory_builder::removeServer(const std::string &name, known_server &known,
-                                                 std::uint64_t revision, time_point now)
+                                                 store_position position, time_point now)
 {
-    known.server.revision = std::max(known.server.revision, revision);
+    known.server.position = std::max(known.server.position, position);
+    known.outdatedEntry.reset();
     const bool mayReregister = m_lapseGraceUntil && now < *m_lapseGraceUntil
                                && known.server.availability == server_availability::Usable;
     if (mayReregister) {
         known.lapsesAt = *m_lapseGraceUntil;
-        return {"backend_server_lapsed", name, revision,
+        return {"backend_server_lapsed", name, position.revision,
                 "its entry lapsed during an outage of the store; it may register again"};
     }
     known.server.availability = server_availability::Departed;
     known.departedAt = now;
-    return {"backend_server_departed", name, revision, "its entry is gone"};
+    return {"backend_server_departed", name, position.revision, "its entry is gone"};
 }
 
 std::vector<directory_change> directory_builder::applyDesiredState(const store_object &object)
 {
-    if (object.revision <= m_routesRevision) {
+    if (object.position() <= m_routesPosition) {
         return {};
     }
     const auto *state = object.value ? std::get_if<desired_state>(&*object.value) : nullptr;
@@ -118,10 +152,11 @@
                  object.deleted ? "it was deleted; the last version remains in effect"
                                 : object.fault}};
     }
-    m_routesRevision = object.revision;
-    if (m_routes && state->version <= m_routes->version) {
+    m_routesPosition = object.position();
+    // A version that the store lost may have been written again with another content.
+    if (m_routes && state->version < m_routes->version) {
         return {{"desired_state_ignored", object.name, object.revision,
-                 "version " + std::to_string(state->version) + " is not newer than "
+                 "version " + std::to_string(state->version) + " is older than "
                          + std::to_string(m_routes->version)}};
     }
     auto table = std::make_shared<route_table>();
@@ -154,22 +189,30 @@
     const std::string &domain = object.name;
     const auto started = m_evacuations.find(domain);
     const auto ended = m_endedEvacuations.find(domain);
-    const std::uint64_t known = std::max(started == m_evacuations.end() ? 0 : started->second,
-                                         ended == m_endedEvacuations.end() ? 0 : ended->second);
-    if (object.revision <= known) {
+    const store_position known =
+            std::max(started == m_evacuations.end() ? store_position{} : started->second.position,
+                     ended == m_endedEvacuations.end() ? store_position{} : ended->second);
+    if (object.position() <= known) {
         return {};
     }
     if (!object.deleted) {
-        m_evacuations[domain] = object.revision;
+        m_evacuations[domain] = {object.position(), std::nullopt};
         return {{"evacuation_started", domain, object.revision, object.fault}};
     }
-    m_endedEvacuations[domain] = object.revision;
     if (started == m_evacuations.end()) {
+        m_endedEvacuations[domain] = object.position();
         return {};
     }
-    m_evacuations.erase(started);
+    return {endEvacuation(domain, object.position(), now)};
+}
+
+directory_change directory_builder::endEvacuation(const std::string &domain,
+                                                  store_position position, time_point now)
+{
+    m_endedEvacuations[domain] = position;
+    m_evacuations.erase(domain);
     markColdAfterEvacuation(domain, now);
-    return {{"evacuation_ended", domain, object.revision, ""}};
+    return {"evacuation_ended", domain, position.revision, ""};
 }
 
 void directory_builder::markColdAfterEvacuation(const std::string &failureDomain, time_point now)
@@ -196,41 +239,68 @@
 
 std::vector<directory_change>
 directory_builder::retainListed(store_kind kind, const std::set<std::string> &listedNames,
-                                std::uint64_t listRevision, time_point now)
+                                store_position listPosition, time_point now)
 {
+    const store_position known = m_positions[static_cast<std::size_t>(kind)];
+    if (known != store_position{} && listPosition.era > known.era) {
+        // The store lost what was written last, and the writers write it again.
+        m_lapseGraceUntil = now + ReRegistrationTime;
+    }
+    switch (kind) {
+    case store_kind::DesiredState:
+        return {};
+    case store_kind::BackendServers:
+        return retainListedServers(listedNames, listPosition, now);
+    case store_kind::Evacuations:
+        return retainListedEvacuations(listedNames, listPosition, now);
+    }
+    return {};
+}
+
+std::vector<directory_change>
+directory_builder::retainListedServers(const std::set<std::string> &listedNames,
+                                       store_position listPosition, time_point now)
+{
+    m_serversListed = true;
     std::vector<directory_change> changes;
-    if (kind == store_kind::BackendServers) {
-        m_serversListed = true;
-        for (auto &[name, known] : m_servers) {
-            if (listedNames.contains(name) || known.server.revision > listRevision
-                || known.departedAt || known.lapsesAt) {
-                continue;
-            }
-            changes.push_back(removeServer(name, known, listRevision, now));
+    for (auto &[name, known] : m_servers) {
+        if (listedNames.contains(name) || known.server.position > listPosition || known.departedAt
+            || known.lapsesAt) {
+            continue;
         }
+        changes.push_back(removeServer(name, known, listPosition, now));
     }
-    if (kind == store_kind::Evacuations) {
-        std::vector<std::string> ended;
-        for (const auto &[domain, revision] : m_evacuations) {
-            if (!listedNames.contains(domain) && revision <= listRevision) {
-                ended.push_back(domain);
-            }
+    return changes;
+}
+
+std::vector<directory_change>
+directory_builder::retainListedEvacuations(const std::set<std::string> &listedNames,
+                                           store_position listPosition, time_point now)
+{
+    std::vector<std::string> ended;
+    for (auto &[domain, known] : m_evacuations) {
+        if (listedNames.contains(domain) || known.position > listPosition || known.lapsesAt) {
+            continue;
         }
-        for (const std::string &domain : ended) {
-            store_object gone{
-                    domain, std::max(listRevision, m_evacuations[domain] + 1), true, {}, {}};
-            for (directory_change &change : applyEvacuation(gone, now)) {
-                changes.push_back(std::move(change));
-            }
+        if (known.position.era < listPosition.era) {
+            known.lapsesAt = m_lapseGraceUntil;
+        }
+        if (!known.lapsesAt) {
+            ended.push_back(domain);
         }
     }
+    std::vector<directory_change> changes;
+    changes.reserve(ended.size());
+    for (const std::string &domain : ended) {
+        changes.push_back(endEvacuation(domain, listPosition, now));
+    }
     return changes;
 }
 
-void directory_builder::advanceRevision(store_kind kind, std::uint64_t revision)
+void directory_builder::advancePosition(store_kind kind, store_position position)
 {
-    std::uint64_t &known = m_revisions[static_cast<std::size_t>(kind)];
-    known = std::max(known, revision);
+    store_position &known = m_positions[static_cast<std::size_t>(kind)];
+    known = std::max(known, position);
 }
 
 std::vector<directory_change> directory_builder::integrate(const exported_knowledge &exported,
@@ -238,8 +308,8 @@
 {
     std::vector<directory_change> changes;
     const auto merge = [&](store_kind kind, const std::vector<store_object> &objects) {
-        const std::uint64_t revision = exported.revisions[static_cast<std::size_t>(kind)];
-        if (revision <= m_revisions[static_cast<std::size_t>(kind)]) {
+        const store_position position = exported.positions[static_cast<std::size_t>(kind)];
+        if (position <= m_positions[static_cast<std::size_t>(kind)]) {
             return;
         }
         std::set<std::string> names;
@@ -247,34 +317,44 @@
             names.insert(object.name);
             std::ranges::move(apply(kind, object, now), std::back_inserter(changes));
         }
-        std::ranges::move(retainListed(kind, names, revision, now), std::back_inserter(changes));
-        advanceRevision(kind, revision);
+        std::ranges::move(retainListed(kind, names, position, now), std::back_inserter(changes));
+        advancePosition(kind, position);
+    };
+    const auto objectOf = [](const std::string &name, store_position position, store_value value) {
+        return store_object{name, position.revision, false, std::move(value), {}, position.era};
     };
     std::vector<store_object> servers;
     for (const exported_object &item : exported.servers) {
-        servers.push_back({item.name, item.revision, false, store_value(item.server), {}});
+        servers.push_back(objectOf(item.name, item.position, item.server));
     }
     std::vector<store_object> evacuations;
     for (const exported_object &item : exported.evacuations) {
-        evacuations.push_back(
-                {item.name, item.revision, false, store_value(evacuation{item.name}), {}});
+        evacuations.push_back(objectOf(item.name, item.position, evacuation{item.name}));
     }
     if (exported.hasDesiredState) {
         merge(store_kind::DesiredState,
-              {{"", exported.desiredRevision, false, store_value(exported.desiredState), {}}});
+              {objectOf("", exported.desiredPosition, exported.desiredState)});
     }
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
-    takeOverLapses(exported.servers, now);
+    takeOverLapses(exported, now);
     return changes;
 }
 
-void directory_builder::takeOverLapses(const std::vector<exported_object> &servers, time_point now)
+void directory_builder::takeOverLapses(const exported_knowledge &exported, time_point now)
 {
-    for (const exported_object &item : servers) {
+    for (const exported_object &item : exported.servers) {
         const auto found = m_servers.find(item.name);
         if (!item.graceRemaining || found == m_servers.end()
-            || found->second.server.revision > item.revision || found->second.departedAt) {
+            || found->second.server.position > item.position || found->second.departedAt) {
+            continue;
+        }
+        found->second.lapsesAt = now + *item.graceRemaining;
+    }
+    for (const exported_object &item : exported.evacuations) {
+        const auto found = m_evacuations.find(item.name);
+        if (!item.graceRemaining || found == m_evacuations.end()
+            || found->second.position > item.position) {
             continue;
         }
         found->second.lapsesAt = now + *item.graceRemaining;
@@ -283,11 +363,16 @@
 
 exported_knowledge directory_builder::exportKnowledge(time_point now) const
 {
+    const auto remaining = [now](std::optional<time_point> end) {
+        return end ? std::optional(std::chrono::ceil<std::chrono::milliseconds>(
+                       std::max(duration::zero(), *end - now)))
+                   : std::nullopt;
+    };
     exported_knowledge exported;
-    exported.revisions = m_revisions;
+    exported.positions = m_positions;
     if (m_routes) {
         exported.hasDesiredState = true;
-        exported.desiredRevision = m_routesRevision;
+        exported.desiredPosition = m_routesPosition;
         exported.desiredState.version = m_routes->version;
         exported.desiredState.idleTimeout = m_routes->idleTimeout;
         for (const auto &[address, item] : m_routes->routes) {
@@ -301,17 +386,14 @@
         if (known.departedAt) {
             continue;
         }
-        exported_object item{name, known.server.revision, known.server.entry, {}};
+        exported_object item{name, known.server.position, known.server.entry, {}};
         item.server.coldRemaining = std::chrono::ceil<std::chrono::milliseconds>(
                 std::max(duration::zero(), known.server.coldUntil - now));
-        if (known.lapsesAt) {
-            item.graceRemaining = std::chrono::ceil<std::chrono::milliseconds>(
-                    std::max(duration::zero(), *known.lapsesAt - now));
-        }
+        item.graceRemaining = remaining(known.lapsesAt);
         exported.servers.push_back(std::move(item));
     }
-    for (const auto &[domain, revision] : m_evacuations) {
-        exported.evacuations.push_back({domain, revision, {}, {}});
+    for (const auto &[domain, known] : m_evacuations) {
+        exported.evacuations.push_back({domain, known.position, {}, remaining(known.lapsesAt)});
     }
     return exported;
 }
@@ -330,15 +412,30 @@
             known.lapsesAt.reset();
             known.server.availability = server_availability::Departed;
             known.departedAt = now;
-            changes.push_back({"backend_server_departed", it->first, known.server.revision,
+            changes.push_back({"backend_server_departed", it->first, known.server.position.revision,
                                "it did not register again after the outage of the store"});
         }
+        if (known.outdatedEntry && now >= known.outdatedUntil) {
+            const registered_server entry = *known.outdatedEntry;
+            adoptEntry(known, entry, now);
+            changes.push_back({"backend_server_updated", it->first, known.server.position.revision,
+                               describeServer(entry)});
+        }
         if (known.departedAt && now - *known.departedAt > DepartedRetention) {
             it = m_servers.erase(it);
             continue;
         }
         ++it;
     }
+    std::vector<std::string> lost;
+    for (const auto &[domain, known] : m_evacuations) {
+        if (known.lapsesAt && now >= *known.lapsesAt) {
+            lost.push_back(domain);
+        }
+    }
+    for (const std::string &domain : lost) {
+        changes.push_back(endEvacuation(domain, m_evacuations[domain].position, now));
+    }
     return changes;
 }
 
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -27,7 +27,9 @@
 
 /**
  * Merges store objects from lists, watches and peers into the knowledge of an instance. An object
- * replaces only an older revision, and the desired state never returns to an older version.
+ * replaces only one at an older position, and the desired state never returns to an older version.
+ * After the store has come back from an older copy, what the copy holds of a server does not
+ * replace a later report of that server.
  */
 class directory_builder
 {
@@ -44,7 +46,7 @@
      */
     std::vector<directory_change> retainListed(store_kind kind,
                                                const std::set<std::string> &listedNames,
-                                               std::uint64_t listRevision, time_point now);
+                                               store_position listPosition, time_point now);
 
     /**
      * Must be called when the store answers again after an outage. Entries that lapsed in the
@@ -52,7 +54,10 @@
      */
     void onStoreRegained(time_point now);
 
-    /** Marks servers whose grace period has ended as departed; removes those departed long ago. */
+    /**
+     * Ends grace periods: lapsed servers depart, lost evacuations end, and an older report of a
+     * server that is still in the store takes effect. Removes servers that departed long ago.
+     */
     std::vector<directory_change> expire(time_point now);
 
     /** Returns whether a desired state and a first list of backend servers are known. */
@@ -63,10 +68,10 @@
     /** Returns the current knowledge in the form that is sent to other instances. */
     exported_knowledge exportKnowledge(time_point now) const;
 
-    /** Returns, per kind, the revision up to which all changes have been applied. */
-    const known_revisions &revisions() const { return m_revisions; }
-    /** Records that all changes of the kind up to the revision have been applied. */
-    void advanceRevision(store_kind kind, std::uint64_t revision);
+    /** Returns, per kind, the position up to which all changes have been applied. */
+    const known_positions &positions() const { return m_positions; }
+    /** Records that all changes of the kind up to the position have been applied. */
+    void advancePosition(store_kind kind, store_position position);
 
     /** Builds an immutable snapshot of the current knowledge. */
     std::shared_ptr<const directory> snapshot();
@@ -80,28 +85,47 @@
         directory_server server;
         std::optional<time_point> lapsesAt; ///< End of the grace period of a lapsed entry.
         std::optional<time_point> departedAt;
+        /** Entry that an older copy of the store holds, while it contradicts what is known. */
+        std::optional<registered_server> outdatedEntry;
+        time_point outdatedUntil; ///< If still in the store then, `outdatedEntry` is in effect.
+    };
+
+    struct known_evacuation
+    {
+        store_position position;
+        std::optional<time_point> lapsesAt; ///< Set if the copy of the store does not have it.
     };
 
     std::vector<directory_change> applyServer(const store_object &object, time_point now);
     std::vector<directory_change> applyDesiredState(const store_object &object);
     std::vector<directory_change> applyEvacuation(const store_object &object, time_point now);
+    void adoptEntry(known_server &known, const registered_server &entry, time_point now);
+    static bool isOutdated(const known_server &known, const store_object &object,
+                           const registered_server &entry);
     directory_change removeServer(const std::string &name, known_server &known,
-                                  std::uint64_t revision, time_point now);
+                                  store_position position, time_point now);
+    std::vector<directory_change> retainListedServers(const std::set<std::string> &listedNames,
+                                                      store_position listPosition, time_point now);
+    std::vector<directory_change> retainListedEvacuations(const std::set<std::string> &listedNames,
+                                                          store_position listPosition,
+                                                          time_point now);
+    directory_change endEvacuation(const std::string &domain, store_position position,
+                                   time_point now);
     /** Marks as lapsed here too what has lapsed at the instance that sent its knowledge. */
-    void takeOverLapses(const std::vector<exported_object> &servers, time_point now);
+    void takeOverLapses(const exported_knowledge &exported, time_point now);
     void markColdAfterEvacuation(const std::string &failureDomain, time_point now);
     duration coldDurationOf(const std::string &service) const;
 
     directory_times m_times;
     std::uint64_t m_serial = 0;
     std::shared_ptr<const route_table> m_routes;
-    std::uint64_t m_routesRevision = 0;
+    store_position m_routesPosition;
     std::map<std::string, known_server> m_servers;
     bool m_serversListed = false;
-    std::map<std::string, std::uint64_t> m_evacuations; ///< Revision by failure domain.
-    std::map<std::string, std::uint64_t> m_endedEvacuations; ///< Revision by failure domain.
+    std::map<std::string, known_evacuation> m_evacuations; ///< By failure domain.
+    std::map<std::string, store_position> m_endedEvacuations; ///< By failure domain.
     std::optional<time_point> m_lapseGraceUntil; ///< End of the grace period after an outage.
-    known_revisions m_revisions{};
+    known_positions m_positions{};
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -11,14 +11,14 @@
 
 namespace ebonyway {
 
-/** Per kind, the store revision up to which an instance has applied all changes. */
-using known_revisions = std::array<std::uint64_t, StoreKindCount>;
+/** Per kind, the store position up to which an instance has applied all changes. */
+using known_positions = std::array<store_position, StoreKindCount>;
 
 /** A store object as sent to another instance. */
 struct exported_object
 {
     std::string name;
-    std::uint64_t revision = 0;
+    store_position position;
     registered_server server; ///< Set only for backend servers.
     /** Set if the entry has lapsed: how much longer it counts as present. */
     std::optional<std::chrono::milliseconds> graceRemaining;
@@ -29,17 +29,17 @@
         bool hasLapsed = graceRemaining.has_value();
         auto grace = static_cast<std::uint64_t>(
                 graceRemaining.value_or(std::chrono::milliseconds(0)).count());
-        archive(name, revision, server, hasLapsed, grace);
+        archive(name, position, server, hasLapsed, grace);
         graceRemaining = hasLapsed ? std::optional(std::chrono::milliseconds(grace)) : std::nullopt;
     }
 };
 
-/** Complete store knowledge of an instance, sent to one whose revisions are older. */
+/** Complete store knowledge of an instance, sent to one whose positions are older. */
 struct exported_knowledge
 {
-    known_revisions revisions{};
+    known_positions positions{};
     bool hasDesiredState = false;
-    std::uint64_t desiredRevision = 0;
+    store_position desiredPosition;
     desired_state desiredState;
     std::vector<exported_object> servers;
     std::vector<exported_object> evacuations; ///< The name of each is its failure domain.
@@ -47,10 +47,10 @@
     template <class Archive>
     void serialize(Archive &archive)
     {
-        for (std::uint64_t &revision : revisions) {
-            archive(revision);
+        for (store_position &position : positions) {
+            archive(position);
         }
-        archive(hasDesiredState, desiredRevision, desiredState, servers, evacuations);
+        archive(hasDesiredState, desiredPosition, desiredState, servers, evacuations);
     }
 };
 
--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -4,6 +4,7 @@
 #include "forwarding/request/flow_packet.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,24 @@
 
 namespace ebonyway {
 
+/**
+ * Position in the history of the platform's store. The store may lose its last changes and come
+ * back from an older copy; it then gives out the same revisions again, in the next era.
+ */
+struct store_position
+{
+    std::uint64_t era = 0; ///< Zero if the store does not tell it.
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const store_position &) const = default;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(era, revision);
+    }
+};
+
 /** Kinds of objects that an instance follows in the platform's store. */
 enum class store_kind : std::uint8_t {
     DesiredState,
@@ -37,6 +56,7 @@
     bool draining = false;
     std::chrono::milliseconds coldRemaining{0}; ///< Remaining cold time when the entry was written.
     std::chrono::milliseconds startedAt{0}; ///< Unix time; changes with each restart.
+    std::uint64_t reportCount = 0; ///< Reports of the server since its start, up to this entry.
 
     bool operator==(const registered_server &) const = default;
 
@@ -45,7 +65,7 @@
     {
         auto cold = static_cast<std::uint64_t>(coldRemaining.count());
         auto started = static_cast<std::uint64_t>(startedAt.count());
-        archive(key, service, address, failureDomain, slots, draining, cold, started);
+        archive(key, service, address, failureDomain, slots, draining, cold, started, reportCount);
         coldRemaining = std::chrono::milliseconds(cold);
         startedAt = std::chrono::milliseconds(started);
     }
@@ -142,6 +162,9 @@
     bool deleted = false;
     std::optional<store_value> value; ///< Empty if deleted, or if `fault` says why it is unusable.
     std::string fault;
+    std::uint64_t era = 0; ///< Era of the answer that contained the object.
+
+    store_position position() const { return {era, revision}; }
 };
 
 /** Answer of the store to a list or watch call. */
@@ -151,6 +174,9 @@
     std::uint64_t revision = 0; ///< Revision of the store when it answered.
     bool hasMore = false; ///< List only: another page follows, starting after `lastName`.
     std::string lastName;
+    std::uint64_t era = 0; ///< See store_position; zero if the store did not tell it.
+
+    store_position position() const { return {era, revision}; }
 };
 
 } // namespace ebonyway
--- a/packages/io/http_client.cpp
+++ b/packages/io/http_client.cpp
@@ -1,5 +1,8 @@
 #include "io/http_client.h"
 
+#include <algorithm>
+#include <cctype>
+#include <iterator>
 #include <utility>
 
 namespace ebonyway {
@@ -24,6 +27,21 @@
     static const http_parser_settings Settings = [] {
         http_parser_settings callbacks;
         http_parser_settings_init(&callbacks);
+        callbacks.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+            auto &client = *static_cast<http_client *>(parser->data);
+            if (std::exchange(client.m_headerNameEnded, false)) {
+                client.m_headerName.clear();
+            }
+            std::transform(at, at + length, std::back_inserter(client.m_headerName),
+                           [](unsigned char letter) { return std::tolower(letter); });
+            return 0;
+        };
+        callbacks.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+            auto &client = *static_cast<http_client *>(parser->data);
+            client.m_headerNameEnded = true;
+            client.m_response.headers[client.m_headerName].append(at, length);
+            return 0;
+        };
         callbacks.on_body = [](http_parser *parser, const char *at, std::size_t length) {
             static_cast<http_client *>(parser->data)->m_response.body.append(at, length);
             return 0;
@@ -42,6 +60,8 @@
     http_parser_init(&m_parser, HTTP_RESPONSE);
     m_parser.data = this;
     m_response = http_response{};
+    m_headerName.clear();
+    m_headerNameEnded = false;
     m_complete = false;
     m_gotBytes = false;
 }
--- a/packages/io/http_client.h
+++ b/packages/io/http_client.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -16,6 +17,7 @@
 {
     int status = 0;
     std::string body;
+    std::map<std::string, std::string> headers; ///< By name in lower case.
 };
 
 /**
@@ -55,6 +57,8 @@
     tcp_stream m_stream;
     http_parser m_parser{};
     http_response m_response;
+    std::string m_headerName; ///< Of the header whose value follows.
+    bool m_headerNameEnded = false;
     std::string m_request;
     bool m_complete = false;
     bool m_reused = false; ///< The call runs on a connection that served an earlier one.
--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -161,8 +161,7 @@
     const std::string state = members.text("state");
     entry.draining = state == "draining";
     entry.coldRemaining = members.millisOr("coldLeftMs", 0);
-    // "seq" counts the server's reports and is not a property of the server. It must be present.
-    members.number("seq");
+    entry.reportCount = members.number("seq");
     entry.startedAt = members.millisOr("born", 0);
     if (!members.fault().empty()) {
         return unreadable(members.fault());
@@ -347,6 +346,18 @@
     return key;
 }
 
+std::uint64_t decodeEra(const std::map<std::string, std::string> &headers)
+{
+    const auto found = headers.find("store-era");
+    if (found == headers.end()) {
+        return 0;
+    }
+    const std::string &text = found->second;
+    std::uint64_t era = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), era);
+    return parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() ? era : 0;
+}
+
 std::string encodeCall(const store_call &call)
 {
     std::string target = std::string("/v1/objects/") + kindPath(call.kind);
--- a/packages/platform/object_codec.h
+++ b/packages/platform/object_codec.h
@@ -2,6 +2,8 @@
 
 #include "forwarding/process/store_call.h"
 
+#include <cstdint>
+#include <map>
 #include <string>
 
 namespace ebonyway::platform {
@@ -15,6 +17,12 @@
  */
 store_answer decodeAnswer(const store_call &call, int httpStatus, const std::string &body);
 
+/**
+ * Decodes the header in which the store tells its era; header names are in lower case. Returns zero
+ * if there is none or it is not a number.
+ */
+std::uint64_t decodeEra(const std::map<std::string, std::string> &headers);
+
 /**
  * Decodes the hexadecimal digits of a backend server's id into the key that the packet prefix
  * carries. Returns std::nullopt if there are no such digits or more than 16.
--- a/packages/platform/object_store_client.cpp
+++ b/packages/platform/object_store_client.cpp
@@ -33,7 +33,9 @@
                     return;
                 }
                 const http_response &response = valueOf(outcome);
-                m_onAnswer(call.kind, decodeAnswer(call, response.status, response.body));
+                store_answer answer = decodeAnswer(call, response.status, response.body);
+                setEra(answer, decodeEra(response.headers));
+                m_onAnswer(call.kind, answer);
             });
 }
 
--- a/tests/emulator/rule_test.cpp
+++ b/tests/emulator/rule_test.cpp
@@ -60,6 +60,24 @@
     checkNeeds("CONFIG", omitted_mechanism::DesiredStateNews);
 }
 
+TEST_CASE_FIXTURE(rule_fixture, "CONFIG, store back from an older copy, needs the store's era")
+{
+    plan.events = {samples::event("server_replace", 1s, 1s, 5),
+                   samples::event("route_added", 6s, 1s),
+                   samples::event("store_restored", 7s, 1s, 1, 8),
+                   samples::event("route_removed", 10s, 5s)};
+    checkNeeds("CONFIG", omitted_mechanism::StoreEra);
+}
+
+TEST_CASE_FIXTURE(rule_fixture, "DRAIN, store back from an older copy, needs the store's era")
+{
+    plan.length = 25s;
+    plan.events = {samples::event("server_crash", 2s, 4s, 8),
+                   samples::event("store_restored", 10s, 1s, 1, 12),
+                   samples::event("server_drain", 13s, 1s, 8)};
+    checkNeeds("DRAIN", omitted_mechanism::StoreEra);
+}
+
 TEST_CASE_FIXTURE(rule_fixture, "EVAC, failure domain evacuated, needs the news of it")
 {
     plan.events = {samples::event("evacuation", 5s, 12s)};
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -45,7 +45,7 @@
             applyObject(samples::entry(key, "b"));
         }
         knowledge.retainListed(store_kind::BackendServers,
-                               {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}, revision, now);
+                               {"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"}, {0, revision}, now);
         publish();
         checkOffers(20ms);
     }
--- a/tests/forwarding/directory_samples.h
+++ b/tests/forwarding/directory_samples.h
@@ -78,6 +78,14 @@
     return state;
 }
 
+/** Positions with the same revision for all kinds. */
+inline known_positions positions(std::uint64_t revision, std::uint64_t era = 0)
+{
+    known_positions made;
+    made.fill({era, revision});
+    return made;
+}
+
 inline store_object object(const desired_state &state, std::uint64_t revision)
 {
     return {"main", revision, false, store_value(state), {}};
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -22,7 +22,7 @@
 struct peers_fixture
 {
     std::map<std::string, peer_directory> instances;
-    std::map<std::string, known_revisions> revisions;
+    std::map<std::string, known_positions> positions;
     std::set<std::string> down;
     time_point now{100s};
 
@@ -35,7 +35,7 @@
             peer_directory made(instance(name, domain, host), host);
             made.setSeeds({samples::address(0x0a010001, 7720)});
             instances.emplace(name, std::move(made));
-            revisions[name] = {1, 1, 1};
+            positions[name] = samples::positions(1);
         }
         advance(2s);
     }
@@ -64,7 +64,7 @@
                 if (down.contains(name)) {
                     continue;
                 }
-                const auto bytes = encodePeerMessage(peer.heartbeat(revisions[name], {}));
+                const auto bytes = encodePeerMessage(peer.heartbeat(positions[name], {}));
                 const auto message = decodePeerMessage(bytes);
                 REQUIRE(isOk(message));
                 const heartbeat_targets targets = peer.targets(false, now);
@@ -134,39 +134,52 @@
 TEST_CASE_FIXTURE(peers_fixture,
                   "outdated instance, several sources, prefers its own failure domain")
 {
-    revisions["four"][1] = 9;
-    revisions["three"][1] = 9;
+    positions["four"][1].revision = 9;
+    positions["three"][1].revision = 9;
     advance(500ms);
-    const auto source = instances.at("one").findPeerWithNewerRevision(revisions["one"], now);
+    const auto source = instances.at("one").findPeerWithNewerPosition(positions["one"], now);
     REQUIRE(source);
     CHECK(source->address.toV4() == 0x0a010003);
-    CHECK_FALSE(instances.at("three").findPeerWithNewerRevision(revisions["three"], now));
+    CHECK_FALSE(instances.at("three").findPeerWithNewerPosition(positions["three"], now));
 }
 
 TEST_CASE_FIXTURE(peers_fixture,
                   "instance with newer knowledge, does not hand it over, is replaced as the source")
 {
-    revisions["four"][1] = 9;
-    revisions["three"][1] = 9;
+    positions["four"][1].revision = 9;
+    positions["three"][1].revision = 9;
     advance(500ms);
     peer_directory &subject = instances.at("one");
     subject.onPullFailed(samples::address(0x0a010003, 7720), now);
-    const auto source = subject.findPeerWithNewerRevision(revisions["one"], now);
+    const auto source = subject.findPeerWithNewerPosition(positions["one"], now);
     REQUIRE(source);
     CHECK(source->address.toV4() == 0x0a010004);
     subject.onPullFailed(samples::address(0x0a010004, 7720), now);
-    CHECK(subject.findPeerWithNewerRevision(revisions["one"], now));
+    CHECK(subject.findPeerWithNewerPosition(positions["one"], now));
     advance(2s);
-    CHECK(subject.findPeerWithNewerRevision(revisions["one"], now)->address.toV4() == 0x0a010003);
+    CHECK(subject.findPeerWithNewerPosition(positions["one"], now)->address.toV4() == 0x0a010003);
+}
+
+TEST_CASE_FIXTURE(peers_fixture,
+                  "instance of an earlier era, at a higher revision, is not used as a source")
+{
+    for (auto &[name, known] : positions) {
+        known = samples::positions(5, 2);
+    }
+    positions["four"] = samples::positions(90, 1);
+    advance(500ms);
+    CHECK_FALSE(instances.at("one").findPeerWithNewerPosition(positions["one"], now));
+    const auto source = instances.at("four").findPeerWithNewerPosition(positions["four"], now);
+    CHECK(source);
 }
 
 TEST_CASE_FIXTURE(peers_fixture, "instance with newer knowledge, dead, is not used as a source")
 {
-    revisions["four"][1] = 9;
+    positions["four"][1].revision = 9;
     advance(500ms);
     down.insert("four");
     advance(1500ms);
-    CHECK_FALSE(instances.at("one").findPeerWithNewerRevision(revisions["one"], now));
+    CHECK_FALSE(instances.at("one").findPeerWithNewerPosition(positions["one"], now));
 }
 
 TEST_CASE_FIXTURE(peers_fixture, "failure domain, all instances silent, is reported as silent")
--- a/tests/forwarding/process/store_follower_test.cpp
+++ b/tests/forwarding/process/store_follower_test.cpp
@@ -66,6 +66,30 @@
         }
     }
 
+    /** As listAll(), with a store that tells its era. */
+    void listAllInEra(std::uint64_t era, std::uint64_t revision, std::uint64_t version)
+    {
+        advance();
+        store_answer state = store_page{
+                {samples::object(samples::desiredState(version), revision)}, revision, false, ""};
+        store_answer servers = store_page{
+                {samples::object(samples::entry(1, "a"), revision)}, revision, false, ""};
+        store_answer none = store_page{{}, revision, false, ""};
+        for (auto *one : {&state, &servers, &none}) {
+            setEra(*one, era);
+        }
+        subject.onAnswer(store_kind::DesiredState, state, now);
+        subject.onAnswer(store_kind::BackendServers, servers, now);
+        subject.onAnswer(store_kind::Evacuations, none, now);
+        advance();
+    }
+
+    void answerInEra(store_kind kind, store_answer outcome, std::uint64_t era)
+    {
+        setEra(outcome, era);
+        subject.onAnswer(kind, outcome, now);
+    }
+
     std::vector<store_kind> laterCalls;
 
     bool hasEvent(const std::string &name)
@@ -194,6 +218,77 @@
     CHECK(std::ranges::count(laterCalls, store_kind::Evacuations) == 0);
 }
 
+TEST_CASE_FIXTURE(follower_fixture,
+                  "store back from an older copy, one answer, has every kind listed again")
+{
+    listAllInEra(1, 20, 4);
+    answerInEra(store_kind::DesiredState, store_page{{}, 25, false, ""}, 2);
+    advance();
+    CHECK(step.cancels.size() == 2);
+    REQUIRE(step.calls.size() == 3);
+    for (const store_call &call : step.calls) {
+        CHECK_FALSE(call.isWatch);
+    }
+    CHECK(hasEvent("store_era_entered"));
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "store back from an older copy, versions at revisions used before, are adopted")
+{
+    listAllInEra(1, 20, 4);
+    answerInEra(store_kind::DesiredState, store_failure{store_failure::cause::HistoryGone, "test"},
+                2);
+    listAllInEra(2, 12, 3);
+    CHECK(knowledge.desiredVersion() == 4);
+    REQUIRE(callOf(store_kind::DesiredState));
+    CHECK(callOf(store_kind::DesiredState)->revision == 12);
+    answerInEra(store_kind::DesiredState,
+                store_page{{samples::object(samples::desiredState(5), 13)}, 13, false, ""}, 2);
+    CHECK(knowledge.desiredVersion() == 5);
+    CHECK(knowledge.positions()[0] == store_position{2, 13});
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "answer of an earlier era, late, is not applied")
+{
+    listAllInEra(2, 20, 4);
+    answerInEra(store_kind::DesiredState,
+                store_page{{samples::object(samples::desiredState(9), 30)}, 30, false, ""}, 1);
+    CHECK(knowledge.desiredVersion() == 4);
+    CHECK(hasEvent("store_answer_outdated"));
+    now += 1s;
+    advance();
+    REQUIRE(callOf(store_kind::DesiredState));
+    CHECK(callOf(store_kind::DesiredState)->revision == 20);
+}
+
+TEST_CASE_FIXTURE(
+        follower_fixture,
+        "reader's watch of an earlier era, peer tells a later one, is restarted as a list")
+{
+    listAllInEra(1, 20, 4);
+    knowledge.advancePosition(store_kind::BackendServers, {2, 15});
+    advance();
+    CHECK(step.cancels.size() == 3);
+    REQUIRE(callOf(store_kind::DesiredState));
+    CHECK_FALSE(callOf(store_kind::DesiredState)->isWatch);
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "list of several pages, era changes in between, starts again")
+{
+    listAllInEra(1, 20, 4);
+    fail(store_kind::BackendServers, store_failure::cause::HistoryGone);
+    advance();
+    answerInEra(store_kind::BackendServers,
+                store_page{{samples::object(samples::entry(7, "a"), 6)}, 20, true, "i-7"}, 1);
+    advance();
+    answerInEra(store_kind::BackendServers,
+                store_page{{samples::object(samples::entry(8, "a"), 7)}, 20, false, "i-8"}, 2);
+    advance();
+    REQUIRE(callOf(store_kind::BackendServers));
+    CHECK(callOf(store_kind::BackendServers)->afterName.empty());
+    CHECK_FALSE(callOf(store_kind::BackendServers)->isWatch);
+}
+
 TEST_CASE_FIXTURE(follower_fixture, "paused process, all calls, are restarted")
 {
     listAll();
@@ -212,7 +307,7 @@
     advance();
     CHECK(step.cancels.size() == 3);
     CHECK(step.calls.empty());
-    knowledge.advanceRevision(store_kind::BackendServers, 44);
+    knowledge.advancePosition(store_kind::BackendServers, {0, 44});
     subject.setReading(true);
     advance();
     REQUIRE(callOf(store_kind::BackendServers));
@@ -274,7 +369,7 @@
     subject.setReading(false);
     knowledge.apply(store_kind::DesiredState, samples::object(samples::desiredState(1), 5), now);
     for (const store_kind kind : AllStoreKinds) {
-        knowledge.advanceRevision(kind, 30);
+        knowledge.advancePosition(kind, {0, 30});
     }
     subject.setReading(true);
     advance();
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -28,6 +28,29 @@
     {
         return subject.snapshot()->byToken(tokenOf(server_key{key}))->availability;
     }
+    /** Lists the servers of an older copy of the store, in the era after the fixture's. */
+    void listCopy(const std::vector<registered_server> &servers)
+    {
+        std::set<std::string> names;
+        for (const registered_server &server : servers) {
+            store_object object = samples::object(server, 4);
+            object.era = 1;
+            names.insert(object.name);
+            subject.apply(store_kind::BackendServers, object, now);
+        }
+        subject.retainListed(store_kind::BackendServers, names, {1, 8}, now);
+        subject.advancePosition(store_kind::BackendServers, {1, 8});
+    }
+
+    /** Report of the server with key 1. */
+    static registered_server report(std::uint64_t count, bool draining)
+    {
+        registered_server server = samples::entry(1, "a");
+        server.reportCount = count;
+        server.draining = draining;
+        return server;
+    }
+
     std::size_t candidates() { return subject.snapshot()->candidates("desk").size(); }
 };
 
@@ -65,7 +88,7 @@
 
 TEST_CASE_FIXTURE(directory_fixture, "server, missing from a complete list, departs")
 {
-    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {0, 30}, now);
     CHECK(availability(1) == server_availability::Departed);
     CHECK(candidates() == 1);
 }
@@ -73,7 +96,7 @@
 TEST_CASE_FIXTURE(directory_fixture, "server, newer than the list, does not depart")
 {
     subject.apply(store_kind::BackendServers, samples::object(samples::entry(3, "a"), 40), now);
-    subject.retainListed(store_kind::BackendServers, {"i-1", "i-2"}, 30, now);
+    subject.retainListed(store_kind::BackendServers, {"i-1", "i-2"}, {0, 30}, now);
     CHECK(availability(3) == server_availability::Usable);
 }
 
@@ -81,7 +104,7 @@
                   "lapsed server, store just back, stays until it could register again")
 {
     subject.onStoreRegained(now);
-    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {0, 30}, now);
     CHECK(availability(1) == server_availability::Usable);
     subject.expire(now + 1'900ms);
     CHECK(availability(1) == server_availability::Usable);
@@ -92,7 +115,7 @@
 TEST_CASE_FIXTURE(directory_fixture, "lapsed server, registers again, stays usable")
 {
     subject.onStoreRegained(now);
-    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {0, 30}, now);
     subject.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 31),
                   now + 1s);
     subject.expire(now + 3s);
@@ -105,7 +128,7 @@
     draining.draining = true;
     subject.apply(store_kind::BackendServers, samples::object(draining, 20), now);
     subject.onStoreRegained(now);
-    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {0, 30}, now);
     CHECK(availability(1) == server_availability::Departed);
 }
 
@@ -133,7 +156,7 @@
 TEST_CASE_FIXTURE(directory_fixture, "evacuation, missing from a complete list, has ended")
 {
     subject.apply(store_kind::Evacuations, {"a", 20, false, store_value(evacuation{"a"}), {}}, now);
-    subject.retainListed(store_kind::Evacuations, {}, 30, now);
+    subject.retainListed(store_kind::Evacuations, {}, {0, 30}, now);
     CHECK(candidates() == 2);
 }
 
@@ -174,25 +197,25 @@
     peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 42), now);
     peer.apply(store_kind::Evacuations, {"a", 43, false, {}, {}}, now);
     for (const store_kind kind : AllStoreKinds) {
-        peer.advanceRevision(kind, 45);
+        peer.advancePosition(kind, {0, 45});
     }
     subject.integrate(peer.exportKnowledge(now), now);
     CHECK(subject.desiredVersion() == 6);
     CHECK(availability(1) == server_availability::Departed);
     CHECK(availability(2) == server_availability::Draining);
     CHECK(availability(3) == server_availability::Usable);
-    CHECK(subject.revisions() == known_revisions{45, 45, 45});
+    CHECK(subject.positions() == samples::positions(45));
 }
 
 TEST_CASE_FIXTURE(directory_fixture,
                   "lapsed server, known from a peer only, departs when it does not register again")
 {
     directory_builder peer{{1'200ms}};
-    subject.advanceRevision(store_kind::BackendServers, 12);
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
     peer.integrate(subject.exportKnowledge(now), now);
     subject.onStoreRegained(now);
-    subject.retainListed(store_kind::BackendServers, {"i-2"}, 30, now);
-    subject.advanceRevision(store_kind::BackendServers, 30);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {0, 30}, now);
+    subject.advancePosition(store_kind::BackendServers, {0, 30});
     const time_point later = now + 1s;
     peer.integrate(subject.exportKnowledge(later), later);
     const auto availabilityAtPeer = [&] {
@@ -208,8 +231,8 @@
 {
     directory_builder peer{{}};
     peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 9), now);
-    peer.advanceRevision(store_kind::BackendServers, 9);
-    subject.advanceRevision(store_kind::BackendServers, 12);
+    peer.advancePosition(store_kind::BackendServers, {0, 9});
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
     CHECK(subject.integrate(peer.exportKnowledge(now), now).empty());
     CHECK(availability(1) == server_availability::Usable);
 }
@@ -229,7 +252,7 @@
                   "starting instance, store unreachable, gets complete knowledge from a peer")
 {
     for (const store_kind kind : AllStoreKinds) {
-        subject.advanceRevision(kind, 12);
+        subject.advancePosition(kind, {0, 12});
     }
     directory_builder starting{{}};
     starting.integrate(subject.exportKnowledge(now), now);
@@ -248,4 +271,99 @@
     CHECK_FALSE(canServe(*subject.snapshot(), {"b"}));
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "draining server, ready in an older copy of the store, stays draining")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, true), 20), now);
+    listCopy({report(5, false), samples::entry(2, "b")});
+    CHECK(availability(1) == server_availability::Draining);
+    CHECK(subject.positions()[1] == store_position{1, 8});
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that left, present in an older copy of the store, is not used again")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, true), 20), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    listCopy({report(5, false), samples::entry(2, "b")});
+    CHECK(availability(1) == server_availability::Departed);
+    store_object gone = samples::deletedServer(1, 9);
+    gone.era = 1;
+    subject.apply(store_kind::BackendServers, gone, now + 2s);
+    subject.expire(now + 10s);
+    CHECK(availability(1) == server_availability::Departed);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that left, reports again after the store's return, is used again")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, false), 20), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    listCopy({report(5, false), samples::entry(2, "b")});
+    store_object again = samples::object(report(10, false), 9);
+    again.era = 1;
+    subject.apply(store_kind::BackendServers, again, now);
+    CHECK(availability(1) == server_availability::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that lapsed, in the store for longer than an entry lasts, is used again")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, false), 20), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    listCopy({report(5, false), samples::entry(2, "b")});
+    subject.expire(now + 3'600ms);
+    CHECK(availability(1) == server_availability::Departed);
+    subject.expire(now + 7s);
+    CHECK(availability(1) == server_availability::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that the store lost, no report within the grace period, departs")
+{
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
+    listCopy({samples::entry(2, "b")});
+    CHECK(availability(1) == server_availability::Usable);
+    subject.expire(now + 2'300ms);
+    CHECK(availability(1) == server_availability::Departed);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "evacuation that the store lost, written again or not, holds until then")
+{
+    for (const char *domain : {"a", "b"}) {
+        subject.apply(store_kind::Evacuations, {domain, 20, false, evacuation{domain}, {}}, now);
+    }
+    subject.advancePosition(store_kind::Evacuations, {0, 20});
+    subject.retainListed(store_kind::Evacuations, {}, {1, 8}, now);
+    CHECK(candidates() == 0);
+    subject.apply(store_kind::Evacuations, {"a", 9, false, evacuation{"a"}, {}, 1}, now);
+    subject.expire(now + 2'300ms);
+    CHECK(candidates() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "desired state, older in the copy of the store, is not taken back")
+{
+    store_object older = samples::object(samples::desiredState(4), 8);
+    older.era = 1;
+    subject.apply(store_kind::DesiredState, older, now);
+    CHECK(subject.desiredVersion() == 5);
+    store_object next = samples::object(samples::desiredState(6), 9);
+    next.era = 1;
+    subject.apply(store_kind::DesiredState, next, now);
+    CHECK(subject.desiredVersion() == 6);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "peer knowledge of an earlier era, at higher revisions, changes nothing")
+{
+    directory_builder peer{{}};
+    peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 90), now);
+    peer.advancePosition(store_kind::BackendServers, {0, 90});
+    subject.advancePosition(store_kind::BackendServers, {1, 8});
+    CHECK(subject.integrate(peer.exportKnowledge(now), now).empty());
+    CHECK(subject.serverCount() == 2);
+}
+
 } // namespace ebonyway
--- a/tests/platform/object_codec_test.cpp
+++ b/tests/platform/object_codec_test.cpp
@@ -176,4 +176,11 @@
     CHECK(std::get<store_failure>(answer).reason == store_failure::cause::Unreadable);
 }
 
+TEST_CASE("era of the store, in a header, is decoded; missing or no number is zero")
+{
+    CHECK(decodeEra({{"content-type", "application/json"}, {"store-era", "3"}}) == 3);
+    CHECK(decodeEra({}) == 0);
+    CHECK(decodeEra({{"store-era", "old"}}) == 0);
+}
+
 } // namespace ebonyway::platform
--- a/tests/system/forwarding_session_test.cpp
+++ b/tests/system/forwarding_session_test.cpp
@@ -225,6 +225,29 @@
     CHECK_FALSE(throughInstance(2, later).empty());
 }
 
+TEST_CASE_FIXTURE(
+        forwarding_session_fixture,
+        "store back from an older copy, new version at a revision used before, is adopted")
+{
+    store.keepCopy();
+    // Lost with the copy, so that the next version gets a revision below the known ones.
+    for (const char *version : {"4", "5", "6"}) {
+        store.put("config", "main", std::string(DesiredState).replace(11, 1, version));
+    }
+    const forwarding_instance one(1);
+    const forwarding_instance two(2);
+    const auto bothKnow = [](const std::string &version) {
+        const std::string sample = "ebonyway_desired_version " + version;
+        return metrics(1).find(sample) != std::string::npos
+               && metrics(2).find(sample) != std::string::npos;
+    };
+    REQUIRE(eventually([&] { return bothKnow("6"); }));
+    store.restoreCopy();
+    store.put("config", "main", std::string(DesiredState).replace(11, 1, "7"));
+    CHECK(eventually([&] { return bothKnow("7"); }));
+    CHECK(metrics(1).find("ebonyway_store_era{kind=\"desired_state\"} 2") != std::string::npos);
+}
+
 TEST_CASE_FIXTURE(forwarding_session_fixture,
                   "store down, instance starts, learns everything from another one")
 {
--- a/tests/system/object_store_standin.cpp
+++ b/tests/system/object_store_standin.cpp
@@ -42,9 +42,9 @@
 
 void object_store_standin::record(const std::string &kind, const std::string &object, bool deleted)
 {
-    m_history.push_back({m_revision, kind,
-                         std::string(R"({"deleted":)") + (deleted ? "true" : "false")
-                                 + R"(,"object":)" + object + "}"});
+    m_content.history.push_back({m_content.revision, kind,
+                                 std::string(R"({"deleted":)") + (deleted ? "true" : "false")
+                                         + R"(,"object":)" + object + "}"});
     m_changed.notify_all();
 }
 
@@ -52,16 +52,16 @@
                                const std::string &spec)
 {
     const std::lock_guard lock(m_mutex);
-    const std::string object = objectJson(name, ++m_revision, spec);
-    m_objects[kind][name] = object;
+    const std::string object = objectJson(name, ++m_content.revision, spec);
+    m_content.objects[kind][name] = object;
     record(kind, object, false);
 }
 
 void object_store_standin::remove(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
-    m_objects[kind].erase(name);
-    record(kind, objectJson(name, ++m_revision, "null"), true);
+    m_content.objects[kind].erase(name);
+    record(kind, objectJson(name, ++m_content.revision, "null"), true);
 }
 
 void object_store_standin::setDown(bool down)
@@ -71,6 +71,20 @@
     m_changed.notify_all();
 }
 
+void object_store_standin::keepCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copy = m_content;
+}
+
+void object_store_standin::restoreCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_content = m_copy;
+    ++m_era;
+    m_changed.notify_all();
+}
+
 int object_store_standin::callCount() const
 {
     const std::lock_guard lock(m_mutex);
@@ -80,14 +94,14 @@
 std::string object_store_standin::list(const std::string &kind) const
 {
     std::string items;
-    const auto found = m_objects.find(kind);
-    if (found != m_objects.end()) {
+    const auto found = m_content.objects.find(kind);
+    if (found != m_content.objects.end()) {
         for (const auto &[name, object] : found->second) {
             items += (items.empty() ? "" : ",") + object;
         }
     }
-    return R"({"items":[)" + items + R"(],"more":false,"currentRev":)" + std::to_string(m_revision)
-           + "}";
+    return R"({"items":[)" + items + R"(],"more":false,"currentRev":)"
+           + std::to_string(m_content.revision) + "}";
 }
 
 void object_store_standin::answer(const httplib::Request &request, httplib::Response &response)
@@ -95,29 +109,38 @@
     const std::string kind = request.path.substr(PathStart.size());
     std::unique_lock lock(m_mutex);
     ++m_calls;
+    const std::uint64_t era = m_era;
     std::string events;
     if (request.has_param("watch") && !m_down) {
         const std::uint64_t since = std::stoull(request.get_param_value("watch"));
+        if (since > m_content.revision) {
+            response.status = 410;
+            response.set_header("Store-Era", std::to_string(m_era));
+            return;
+        }
         const auto wait = std::chrono::milliseconds(std::stoi(request.get_param_value("waitMs")));
         m_changed.wait_for(lock, wait, [&] {
-            return m_down || m_stopping
-                   || std::any_of(m_history.begin(), m_history.end(), [&](const event &item) {
-                          return item.kind == kind && item.revision > since;
-                      });
+            return m_down || m_stopping || m_era != era
+                   || std::any_of(m_content.history.begin(), m_content.history.end(),
+                                  [&](const event &item) {
+                                      return item.kind == kind && item.revision > since;
+                                  });
         });
-        for (const event &item : m_history) {
+        for (const event &item : m_content.history) {
             if (item.kind == kind && item.revision > since) {
                 events += (events.empty() ? "" : ",") + item.json;
             }
         }
     }
-    if (m_down || m_stopping) {
+    // A watch that began before the store came back is cut off, as in an outage.
+    if (m_down || m_stopping || m_era != era) {
         response.status = 503;
         return;
     }
+    response.set_header("Store-Era", std::to_string(m_era));
     const std::string body = request.has_param("watch")
                                      ? R"({"events":[)" + events + R"(],"currentRev":)"
-                                               + std::to_string(m_revision) + "}"
+                                               + std::to_string(m_content.revision) + "}"
                                      : list(kind);
     response.set_content(body, "application/json");
 }
--- a/tests/system/object_store_standin.h
+++ b/tests/system/object_store_standin.h
@@ -27,6 +27,13 @@
     /** While it is down, every call is answered with 503. */
     void setDown(bool down);
 
+    /**
+     * Keeps a copy of all objects, and takes the store back to it later: what was written since is
+     * gone, its revisions are given out again, and a new era begins.
+     */
+    void keepCopy();
+    void restoreCopy();
+
     int callCount() const;
 
 private:
@@ -45,9 +52,16 @@
     std::thread m_thread;
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, std::map<std::string, std::string>> m_objects; ///< By kind and name.
-    std::vector<event> m_history;
-    std::uint64_t m_revision = 10;
+    struct content
+    {
+        std::map<std::string, std::map<std::string, std::string>> objects; ///< By kind and name.
+        std::vector<event> history;
+        std::uint64_t revision = 10;
+    };
+
+    content m_content;
+    content m_copy;
+    std::uint64_t m_era = 1;
     bool m_down = false;
     bool m_stopping = false;
     int m_calls = 0;
