Bind leases and conditional writes to the era of the platform's store

Two instances could hold the lease at once, and an epoch could be given out twice, after the store had come back from an older copy: a candidate took a lease that the copy lacked at once, while the holder counted on it for up to 15 s more; the epoch followed from the copy; and an update on a version that was read before the return took effect if the same revision named another state since. Class: as for positions of the store, a sequence number was trusted beyond the history that it belongs to. Change: the version of an object contains the era (header Store-Era), and an update on one of an earlier era is a conflict; if the first answer of the new era is that of the update itself, its outcome is unknown. A lost lease that was seen before is free only after another lease time. The epoch is above every one that the candidate has seen. The stand-in's platform keeps and restores copies (control key 'copy'), tells its era, ends watches from unknown revisions with 410 and saves the era. Tests: 'lease that the store lost*', 'lease in an older copy*' and 'update on a version of an earlier era*' fail on the code before. Ruled out by a test that passes before and after: release notes ('store back from an older copy, lost and next notes*'), since a watch that is cut off lists anew and notes are fetched by number.

--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -4,6 +4,8 @@
 
 #include <httplib.h>
 
+#include <charconv>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -19,9 +21,24 @@
 {
     int status = 0;
     std::string etag;
+    std::uint64_t era = 0; ///< Zero if the platform does not tell it.
     std::string body;
 };
 
+/** Header in which the platform tells how often its store has come back from an older copy. */
+const std::string EraHeader = "Store-Era";
+
+/** Separates the era from the ETag in the version of an object. */
+constexpr char EraSeparator = '/';
+
+std::uint64_t eraIn(const httplib::Response &response)
+{
+    const std::string text = response.get_header_value(EraHeader);
+    std::uint64_t era = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), era);
+    return parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() ? era : 0;
+}
+
 /** An HTTP client for one call, listed in the registry while it lives. */
 class registered_client
 {
@@ -71,6 +88,7 @@
             [&answer](const httplib::Response &response) {
                 answer.status = response.status;
                 answer.etag = response.get_header_value("ETag");
+                answer.era = eraIn(response);
                 return true;
             },
             [&answer](const char *data, std::size_t length) {
@@ -104,13 +122,21 @@
     }
 }
 
-/** Removes the quotes of an ETag; nothing if it is not a strong ETag. */
-std::optional<std::string> versionIn(const std::string &etag)
+/** Returns an ETag without its quotes and with its era; nothing if it is not a strong ETag. */
+std::optional<std::string> versionIn(const std::string &etag, std::uint64_t era)
 {
     if (etag.size() < 3 || etag.front() != '"' || etag.back() != '"') {
         return std::nullopt;
     }
-    return etag.substr(1, etag.size() - 2);
+    const std::string text = etag.substr(1, etag.size() - 2);
+    return era == 0 ? text : std::to_string(era) + EraSeparator + text;
+}
+
+/** Returns the condition of an update, which names the ETag alone. */
+std::string conditionFor(const std::string &version)
+{
+    // substr() starts at the beginning if there is no separator, since npos + 1 is zero.
+    return "\"" + version.substr(version.find(EraSeparator) + 1) + "\"";
 }
 
 result<Json::Value> sendJsonGet(http_call_registry &calls, const endpoint &server,
@@ -187,10 +213,11 @@
     if (!isOk(answer)) {
         return errorOf(answer);
     }
+    noteEra(valueOf(answer).era);
     if (valueOf(answer).status != 200) {
         return errorFor(m_platform, valueOf(answer).status, key);
     }
-    const auto version = versionIn(valueOf(answer).etag);
+    const auto version = versionIn(valueOf(answer).etag, valueOf(answer).era);
     if (!version) {
         return notUnderstood(m_platform, "the ETag is missing");
     }
@@ -206,7 +233,19 @@
 result<std::string> http_platform_store::update(const std::string &key, const std::string &value,
                                                 const std::string &version, timeout limit)
 {
-    return put(key, value, "If-Match", "\"" + version + "\"", limit);
+    const error overtaken{
+            error_kind::Conflict,
+            key + " was read before the platform's store came back from an older copy",
+            "Read it again before writing."};
+    if (isOfEarlierEra(version)) {
+        return overtaken;
+    }
+    result<std::string> written = put(key, value, "If-Match", conditionFor(version), limit);
+    if (isOk(written) && isOfEarlierEra(version)) {
+        // The answer is the first of a new era, in which the condition named another state.
+        return error{error_kind::OutcomeUnknown, overtaken.message, overtaken.remedy};
+    }
+    return written;
 }
 
 result<object_list> http_platform_store::list(const std::string &prefix, const std::string &after,
@@ -247,6 +286,23 @@
     return listed;
 }
 
+void http_platform_store::noteEra(std::uint64_t era)
+{
+    std::uint64_t known = m_era;
+    while (era > known && !m_era.compare_exchange_weak(known, era)) {
+        // `known` holds the era that another call has noted meanwhile.
+    }
+}
+
+bool http_platform_store::isOfEarlierEra(const std::string &version) const
+{
+    std::uint64_t era = 0;
+    if (version.find(EraSeparator) != std::string::npos) {
+        std::from_chars(version.data(), version.data() + version.size(), era);
+    }
+    return era < m_era;
+}
+
 result<std::string> http_platform_store::put(const std::string &key, const std::string &value,
                                              const std::string &conditionName,
                                              const std::string &condition, timeout limit)
@@ -262,8 +318,9 @@
                              || sent.error() == httplib::Error::ConnectionTimeout;
         return notSent ? unavailable(m_platform, httplib::to_string(sent.error())) : unknown;
     }
+    noteEra(eraIn(sent.value()));
     if (sent->status == 200 || sent->status == 201) {
-        return versionIn(sent->get_header_value("ETag")).value_or("");
+        return versionIn(sent->get_header_value("ETag"), eraIn(sent.value())).value_or("");
     }
     if (sent->status >= 500 && sent->status != 503) {
         return unknown;
--- a/packages/process/edge/http_platform_store.h
+++ b/packages/process/edge/http_platform_store.h
@@ -3,6 +3,8 @@
 #include "core/ip_address.h"
 #include "version/platform_store.h"
 
+#include <atomic>
+#include <cstdint>
 #include <mutex>
 #include <set>
 
@@ -32,7 +34,9 @@
 
 /**
  * The platform's object API over HTTP (section 7 of the design page). Every call opens its own
- * connection, so calls from several threads do not wait for each other.
+ * connection, so calls from several threads do not wait for each other. Versions of objects contain
+ * the era of the platform's store: after it came back from an older copy, the same revision may
+ * name another state, so an update on a version of an earlier era fails with Conflict.
  */
 class http_platform_store : public platform_store
 {
@@ -58,8 +62,13 @@
                             const std::string &conditionName, const std::string &condition,
                             timeout limit);
 
+    void noteEra(std::uint64_t era);
+    /** Returns whether the store has come back from an older copy since the version was read. */
+    bool isOfEarlierEra(const std::string &version) const;
+
     endpoint m_platform;
     http_call_registry m_calls;
+    std::atomic<std::uint64_t> m_era{0}; ///< Highest era that an answer told; zero without one.
 };
 
 /** Reads a page such as /status from an instance. Fails with Unavailable or NotFound. */
--- a/packages/process/lease.cpp
+++ b/packages/process/lease.cpp
@@ -35,8 +35,7 @@
         return std::nullopt;
     }
     m_isCallUnderWay = true;
-    const bool isRunOut = now - m_versionSeen >= LeaseTime;
-    m_isWriting = !m_mustRead && (m_isAbsent || isHeld(now) || isRunOut);
+    m_isWriting = !m_mustRead && (isHeld(now) || now >= freeAt());
     if (!m_isWriting) {
         return get_object{m_key};
     }
@@ -44,6 +43,11 @@
     return makeWrite(isHeld(now) ? m_epoch : m_seenEpoch + 1);
 }
 
+time_point lease::freeAt() const
+{
+    return m_versionSeen ? *m_versionSeen + LeaseTime : time_point{};
+}
+
 put_object lease::makeWrite(std::uint64_t epoch)
 {
     m_written = {epoch, m_self.value, std::to_string(m_random.next())};
@@ -68,9 +72,7 @@
     }
     switch (errorOf(outcome).kind) {
     case error_kind::NotFound:
-        m_mustRead = false;
-        m_isAbsent = true;
-        m_nextCall = now;
+        onAbsent(now);
         return;
     case error_kind::Conflict:
         // Another instance has written. If an earlier write of this one took effect and only its
@@ -85,12 +87,25 @@
     }
 }
 
+void lease::onAbsent(time_point now)
+{
+    m_mustRead = false;
+    m_isAbsent = true;
+    if (!m_version.empty()) {
+        // The store came back from a copy without the lease, and its holder may not know that yet.
+        m_version.clear();
+        m_versionSeen = now;
+    }
+    m_nextCall = isHeld(now) ? now : std::max(now, freeAt());
+}
+
 void lease::onRead(const platform_object &object, time_point now)
 {
     m_mustRead = false;
     m_isAbsent = false;
     const std::optional<record> seen = decode(object.value);
-    m_seenEpoch = seen ? seen->epoch : m_seenEpoch;
+    // An older copy of the store may hold an epoch that has been given out again since.
+    m_seenEpoch = std::max(m_seenEpoch, seen ? seen->epoch : 0);
     if (seen && seen->holder == m_self.value && seen->token == m_written.token) {
         // The answer to the last write was lost, but the write took effect after it was sent.
         onWritten(object.version, now);
@@ -101,7 +116,7 @@
         m_version = object.version;
         m_versionSeen = now;
     }
-    const duration left = LeaseTime - (now - m_versionSeen);
+    const duration left = freeAt() - now;
     const duration wait = std::min<duration>(ObservationPeriod, std::max<duration>(left, {}));
     // Spreads the candidates, so that one of them usually wins without a conflict.
     const auto jitter = m_random.below(static_cast<std::uint64_t>(duration(RenewalPeriod).count()));
--- a/packages/process/lease.h
+++ b/packages/process/lease.h
@@ -51,6 +51,9 @@
 
     static std::string encode(const record &value);
     static std::optional<record> decode(const std::string &text);
+    /** When another instance may take the lease over; in the past if it was never seen. */
+    time_point freeAt() const;
+    void onAbsent(time_point now);
     void onRead(const platform_object &object, time_point now);
     void onWritten(const std::string &version, time_point now);
     put_object makeWrite(std::uint64_t epoch);
@@ -65,7 +68,7 @@
     bool m_mustRead = true; ///< What the object holds is not known.
     bool m_isAbsent = false;
     std::string m_version; ///< Last version read or written; empty if absent.
-    time_point m_versionSeen; ///< When that version was first seen.
+    std::optional<time_point> m_versionSeen; ///< When that version or its absence was first seen.
     time_point m_writeSent; ///< When m_written was sent.
     time_point m_nextCall;
     record m_written; ///< The write under way or with unknown outcome.
--- a/packages/standins/platform_control.cpp
+++ b/packages/standins/platform_control.cpp
@@ -52,6 +52,19 @@
     return std::monostate{};
 }
 
+status applyCopy(platform_model &platform, const Json::Value &value)
+{
+    if (value == Json::Value("keep")) {
+        platform.keepCopy();
+        return std::monostate{};
+    }
+    if (value == Json::Value("restore")) {
+        platform.restoreCopy();
+        return std::monostate{};
+    }
+    return invalidKey("copy", "Use keep or restore.");
+}
+
 status applyFault(platform_faults &faults, const std::string &key, const Json::Value &value)
 {
     if (key == "outage") {
@@ -70,7 +83,7 @@
         faults.instancesLag = std::chrono::milliseconds(value.asUInt());
     } else {
         return invalidKey(key, "Use latency_ms, outage, lose_responses, stale_read_ratio, "
-                               "stale_revisions, instances_lag_ms and instances.");
+                               "stale_revisions, instances_lag_ms, instances and copy.");
     }
     return std::monostate{};
 }
@@ -90,6 +103,7 @@
     platform_faults faults = platform.faults();
     for (const std::string &key : body.getMemberNames()) {
         status applied = key == "instances" ? applyInstances(platform, body[key], now)
+                         : key == "copy"    ? applyCopy(platform, body[key])
                                             : applyFault(faults, key, body[key]);
         if (!isOk(applied)) {
             return applied;
@@ -114,6 +128,7 @@
     value["calls"]["failed"] = Json::UInt64(counted.failed);
     value["waiting_watches"] = Json::UInt64(platform.waitingWatches());
     value["revision"] = Json::UInt64(platform.store().revision());
+    value["era"] = Json::UInt64(platform.store().era());
     value["latency_ms"] = Json::Int64(milliseconds(faults.latency));
     value["lose_responses"] = faults.loseResponses;
     for (const auto &[kind, name] : OutageNames) {
--- a/packages/standins/platform_model.cpp
+++ b/packages/standins/platform_model.cpp
@@ -140,6 +140,7 @@
     auto outcome = dispatch(request, now);
     if (auto *response = std::get_if<platform_response>(&outcome)) {
         response->latency = m_faults.latency;
+        response->era = m_store.era();
     }
     return outcome;
 }
@@ -224,11 +225,15 @@
     if (!revision) {
         return plainResponse(400, "a watch needs the revision after which it waits");
     }
+    if (*revision > m_store.revision()) {
+        return plainResponse(410, "there is no such revision");
+    }
     const std::string timeoutText = queryValue(request, "timeout_ms");
     const std::uint64_t timeout = parseNumber(timeoutText).value_or(DefaultWatchTimeout);
     waiting_watch watch;
     watch.prefix = queryValue(request, "prefix");
     watch.revision = *revision;
+    watch.era = m_store.era();
     watch.timeoutAt = now + std::chrono::milliseconds(std::min(timeout, LongestWatchTimeout));
     const watch_id id = m_nextWatch++;
     m_watches.emplace(id, std::move(watch));
@@ -249,9 +254,13 @@
     const auto changes = m_store.changesAfter(found->second.prefix, found->second.revision);
     if (m_faults.outage != outage_kind::None) {
         response = outageResponse();
+    } else if (found->second.era != m_store.era()) {
+        response = plainResponse(410, "the store came back from an older copy");
+        response->era = m_store.era();
     } else if (!changes.empty() || now >= found->second.timeoutAt) {
         response = changesResponse(changes);
         response->latency = m_faults.latency;
+        response->era = m_store.era();
     }
     if (response) {
         m_watches.erase(found);
--- a/packages/standins/platform_model.h
+++ b/packages/standins/platform_model.h
@@ -30,6 +30,7 @@
 struct platform_response
 {
     int code = 200; ///< HTTP status.
+    std::uint64_t era = 0; ///< Value of the Store-Era header, or zero.
     std::string etag; ///< Value of the ETag header with its quotes, or empty.
     std::string contentType = "application/json";
     std::string body;
@@ -106,6 +107,10 @@
     void setInstances(std::vector<listed_instance> instances, time_point now);
     const std::vector<listed_instance> &instances() const { return m_listings.back().instances; }
 
+    /** Keeps a copy of the objects, to which restoreCopy() takes the store back. */
+    void keepCopy() { m_copy = m_store; }
+    void restoreCopy() { m_store.restoreCopy(m_copy); }
+
     platform_store &store() { return m_store; }
     const platform_store &store() const { return m_store; }
     const call_counters &calls() const { return m_calls; }
@@ -116,6 +121,7 @@
     {
         std::string prefix;
         std::uint64_t revision = 0;
+        std::uint64_t era = 0; ///< In which the watch began.
         time_point timeoutAt;
     };
     struct listing
@@ -139,6 +145,7 @@
 
     seeded_random m_random;
     platform_store m_store;
+    platform_store m_copy;
     platform_faults m_faults;
     call_counters m_calls;
     std::map<watch_id, waiting_watch> m_watches;
--- a/packages/standins/platform_service.cpp
+++ b/packages/standins/platform_service.cpp
@@ -146,6 +146,9 @@
         return;
     }
     to.status = response.code;
+    if (response.era != 0) {
+        to.set_header("Store-Era", std::to_string(response.era));
+    }
     if (!response.etag.empty()) {
         to.set_header("ETag", response.etag);
     }
@@ -202,6 +205,7 @@
     {
         const std::lock_guard guard(m_mutex);
         applied = applyPlatformControl(m_model, body, now());
+        saveState();
         counters = platformCounters(m_model);
         Json::Value event;
         event["body"] = body;
--- a/packages/standins/platform_store.cpp
+++ b/packages/standins/platform_store.cpp
@@ -130,9 +130,17 @@
     return changed;
 }
 
+void platform_store::restoreCopy(const platform_store &copy)
+{
+    const std::uint64_t next = m_era + 1;
+    *this = copy;
+    m_era = next;
+}
+
 std::string platform_store::save() const
 {
     Json::Value saved(Json::objectValue);
+    saved["era"] = Json::UInt64(m_era);
     saved["revision"] = Json::UInt64(m_revision);
     saved["objects"] = Json::Value(Json::objectValue);
     for (const auto &[key, versions] : m_objects) {
@@ -155,6 +163,7 @@
     }
     m_objects.clear();
     m_revision = root["revision"].asUInt64();
+    m_era = root.get("era", 1).asUInt64();
     for (const std::string &key : root["objects"].getMemberNames()) {
         const Json::Value &object = root["objects"][key];
         const std::optional<std::string> value = fromHex(object["value_hex"].asString());
--- a/packages/standins/platform_store.h
+++ b/packages/standins/platform_store.h
@@ -42,7 +42,10 @@
     TooLarge,
 };
 
-/** The platform's objects with their versions. Every write gets the next revision. */
+/**
+ * The platform's objects with their versions. Every write gets the next revision. A store that
+ * comes back from an older copy gives revisions out again, in the next era.
+ */
 class platform_store
 {
 public:
@@ -57,6 +60,10 @@
     std::vector<object_version> changesAfter(const std::string &prefix,
                                              std::uint64_t revision) const;
     std::uint64_t revision() const { return m_revision; }
+    std::uint64_t era() const { return m_era; }
+
+    /** Takes the content of an older copy and begins the next era. */
+    void restoreCopy(const platform_store &copy);
 
     /** Writes the latest versions as JSON. */
     std::string save() const;
@@ -66,6 +73,7 @@
 private:
     std::map<std::string, std::vector<stored_object>> m_objects; ///< Versions, oldest first.
     std::uint64_t m_revision = 0;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace ebonyway::standins
--- a/tests/process/edge/http_platform_store_test.cpp
+++ b/tests/process/edge/http_platform_store_test.cpp
@@ -18,6 +18,7 @@
     httplib::Server server;
     int status = 200;
     std::string body;
+    std::string era; ///< Empty: not told.
     httplib::Request received;
     std::promise<void> release; ///< Ends the calls that hang.
     std::shared_future<void> released{release.get_future()};
@@ -30,6 +31,9 @@
             received = request;
             response.status = status;
             response.set_header("ETag", "\"7\"");
+            if (!era.empty()) {
+                response.set_header("Store-Era", era);
+            }
             response.set_content(body, "application/json");
         };
         server.Put("/objects/hanging",
@@ -95,6 +99,24 @@
     CHECK(valueOf(instances).front().leaving);
 }
 
+TEST_CASE_FIXTURE(http_platform_store_fixture,
+                  "update on a version of an earlier era, same ETag, is a conflict")
+{
+    http_platform_store subject(address);
+    era = "1";
+    const std::string version = valueOf(subject.get("leases/status", 5s)).version;
+    CHECK(isOk(subject.update("leases/status", "mine", version, 5s)));
+    CHECK(received.get_header_value("If-Match") == "\"7\"");
+    era = "2";
+    // The first answer of the new era is that of the update itself.
+    CHECK(kindOf(subject.update("leases/status", "first", version, 5s))
+          == error_kind::OutcomeUnknown);
+    CHECK(kindOf(subject.update("leases/status", "second", version, 5s)) == error_kind::Conflict);
+    CHECK(received.body == "first");
+    const std::string current = valueOf(subject.get("leases/status", 5s)).version;
+    CHECK(isOk(subject.update("leases/status", "third", current, 5s)));
+}
+
 TEST_CASE_FIXTURE(http_platform_store_fixture,
                   "platform over HTTP, failures, keep the write's outcome")
 {
--- a/tests/process/fake_platform.cpp
+++ b/tests/process/fake_platform.cpp
@@ -75,9 +75,31 @@
 void fake_platform::setDown(bool isDown, time_point now)
 {
     faults.isDown = isDown;
-    if (!isDown) {
-        return;
+    if (isDown) {
+        cutWatches(now);
+    }
+}
+
+void fake_platform::restoreCopy(std::uint64_t revision, time_point now)
+{
+    ++m_era;
+    m_revision = revision;
+    for (auto &[key, revisions] : m_objects) {
+        std::erase_if(revisions, [revision](const revision_entry &entry) {
+            return entry.revision > revision;
+        });
     }
+    std::erase_if(m_objects, [](const auto &object) { return object.second.empty(); });
+    cutWatches(now);
+}
+
+std::string fake_platform::versionOf(std::uint64_t revision) const
+{
+    return std::to_string(m_era) + "/" + std::to_string(revision);
+}
+
+void fake_platform::cutWatches(time_point now)
+{
     for (waiting_watch &waiting : std::exchange(m_watches, {})) {
         answerLater(now + faults.latency, std::move(waiting.done), unavailable());
     }
@@ -122,8 +144,7 @@
     const bool isAbsent = place == m_objects.end();
     const bool isAllowed =
             request.ifVersion
-                    ? !isAbsent
-                              && std::to_string(place->second.back().revision) == *request.ifVersion
+                    ? !isAbsent && versionOf(place->second.back().revision) == *request.ifVersion
                     : isAbsent;
     if (!isAllowed) {
         conflictCount++;
@@ -131,7 +152,7 @@
     }
     m_objects[request.key].push_back({++m_revision, now, request.value});
     endWatches(request.key, now);
-    return platform_answer{platform_version{std::to_string(m_revision)}};
+    return platform_answer{platform_version{versionOf(m_revision)}};
 }
 
 result<platform_answer> fake_platform::get(const get_object &request, time_point now) const
@@ -140,7 +161,7 @@
     if (entry == nullptr) {
         return error{error_kind::NotFound, request.key + " does not exist", "Check the key"};
     }
-    return platform_answer{platform_object{entry->value, std::to_string(entry->revision)}};
+    return platform_answer{platform_object{entry->value, versionOf(entry->revision)}};
 }
 
 platform_listing fake_platform::list(const std::string &prefix, const std::string &after,
--- a/tests/process/fake_platform.h
+++ b/tests/process/fake_platform.h
@@ -39,6 +39,13 @@
     /** Removes the newest object of a prefix, like a store restored from an old copy. */
     void forgetNewest(const std::string &prefix);
 
+    /**
+     * Takes the store back to what it held at a revision, in a new era: later revisions are given
+     * out again, and waiting watches are cut off.
+     */
+    void restoreCopy(std::uint64_t revision, time_point now);
+    std::uint64_t revision() const { return m_revision; }
+
     void setDown(bool isDown, time_point now);
 
     const std::string *value(const std::string &key) const;
@@ -62,6 +69,9 @@
         std::uint64_t id = 0;
     };
 
+    /** Version of an entry as http_platform_store gives it. */
+    std::string versionOf(std::uint64_t revision) const;
+    void cutWatches(time_point now);
     const revision_entry *find(const std::string &key, time_point now) const;
     result<platform_answer> put(const put_object &request, time_point now);
     result<platform_answer> get(const get_object &request, time_point now) const;
@@ -75,6 +85,7 @@
     scheduler m_schedule;
     std::map<std::string, std::vector<revision_entry>> m_objects; ///< All revisions per key.
     std::vector<waiting_watch> m_watches;
+    std::uint64_t m_era = 1;
     std::uint64_t m_revision = 0;
     std::uint64_t m_watchCount = 0;
 };
--- a/tests/process/intent_sync_test.cpp
+++ b/tests/process/intent_sync_test.cpp
@@ -1,4 +1,5 @@
 #include "process/control_fleet.h"
+#include "version/platform_notes.h"
 
 #include <doctest/doctest.h>
 
@@ -128,6 +129,19 @@
     CHECK(fleet.haveAll(note));
 }
 
+TEST_CASE_FIXTURE(intent_sync_fixture,
+                  "store back from an older copy, lost and next notes, are in force in time")
+{
+    const std::uint64_t copy = fleet.platform.revision();
+    const std::uint64_t lost = fleet.acceptNote();
+    fleet.run(8s);
+    const std::string text = *fleet.platform.value(noteKey({lost}));
+    fleet.platform.restoreCopy(copy, fleet.now());
+    fleet.run(2s);
+    REQUIRE(fleet.platform.create(noteKey({lost}), text, fleet.now()));
+    CHECK(fleet.runUntilAllHave(fleet.acceptNote(), 60s) <= 12s);
+}
+
 TEST_CASE_FIXTURE(intent_sync_fixture,
                   "intent sync, partition while a note spreads, both sides agree")
 {
--- a/tests/process/lease_test.cpp
+++ b/tests/process/lease_test.cpp
@@ -88,6 +88,43 @@
     CHECK(first.epoch() == 1);
 }
 
+TEST_CASE_FIXTURE(lease_fixture,
+                  "lease that the store lost, holder not aware of it, is not given to another")
+{
+    tick(first);
+    tick(second);
+    REQUIRE(first.isHeld(now));
+    now += 4s; // Before the first renewal.
+    platform.restoreCopy(0, now);
+    for (int i = 0; i < 60; ++i) {
+        // The holder is paused; its lease runs out on its own clock.
+        now += 500ms;
+        tick(second);
+        CHECK_FALSE((first.isHeld(now) && second.isHeld(now)));
+    }
+    CHECK(second.isHeld(now));
+}
+
+TEST_CASE_FIXTURE(lease_fixture, "lease in an older copy, next holder, gets an epoch never used")
+{
+    tick(first);
+    tick(second);
+    const std::uint64_t copy = platform.revision();
+    while (!second.isHeld(now)) {
+        now += 1s;
+        tick(second);
+    }
+    CHECK(second.epoch() == 2);
+    tick(first);
+    platform.restoreCopy(copy, now);
+    while (!first.isHeld(now)) {
+        now += 1s;
+        tick(first);
+        CHECK_FALSE((first.isHeld(now) && second.isHeld(now)));
+    }
+    CHECK(first.epoch() > 2);
+}
+
 TEST_CASE_FIXTURE(lease_fixture, "fenced object, a late write of a paused holder, fails")
 {
     fenced_object early("status/x");
--- a/tests/standins/platform_model_test.cpp
+++ b/tests/standins/platform_model_test.cpp
@@ -185,6 +185,28 @@
     CHECK(platform.calls().failed == 3);
 }
 
+TEST_CASE_FIXTURE(platform_fixture, "restored copy, revisions, are given out again in the next era")
+{
+    create("notes/0000000001", "one");
+    Json::Value control;
+    control["copy"] = "keep";
+    REQUIRE(isOk(applyPlatformControl(platform, control, now)));
+    const platform_response lost = create("notes/0000000002", "lost");
+    const watch_id watch = startWatch("2");
+    control["copy"] = "restore";
+    REQUIRE(isOk(applyPlatformControl(platform, control, now)));
+    CHECK(platform.pollWatch(watch, now)->code == 410);
+    CHECK(call(watchAfter("2")).code == 410);
+    CHECK(get("notes/0000000002").code == 404);
+    const platform_response again = create("notes/0000000002", "again");
+    CHECK(again.etag == lost.etag);
+    CHECK(lost.era == 1);
+    CHECK(again.era == 2);
+    platform_store loaded;
+    REQUIRE(isOk(loaded.load(platform.store().save())));
+    CHECK(loaded.era() == 2);
+}
+
 TEST_CASE_FIXTURE(platform_fixture, "stale reads, ratio of one, show the earlier version")
 {
     const std::string etag = create("notes/1", "a").etag;
