Write again under the lease what the store may have lost

Cause: the lease holder remembers what it has written and takes that as still stored. Test: 'store back from an older copy, lost status*' fails on the code before.

--- a/packages/process/fenced_object.cpp
+++ b/packages/process/fenced_object.cpp
@@ -42,9 +42,7 @@
 {
     if (epoch != m_epoch) {
         m_epoch = epoch;
-        m_isRead = false;
-        m_isSuperseded = false;
-        m_isWritten = false;
+        restart();
     }
     if (content != m_content) {
         m_content = content;
@@ -52,6 +50,13 @@
     }
 }
 
+void fenced_object::restart()
+{
+    m_isRead = false;
+    m_isSuperseded = false;
+    m_isWritten = false;
+}
+
 std::optional<platform_request> fenced_object::nextCall()
 {
     if (m_isWritten || m_isSuperseded) {
--- a/packages/process/fenced_object.h
+++ b/packages/process/fenced_object.h
@@ -22,6 +22,9 @@
     /** Sets what the object should contain: a JSON object, written under the epoch. */
     void want(const std::string &content, std::uint64_t epoch);
 
+    /** Has the object read and written again, because the store may have lost it. */
+    void restart();
+
     /** Returns the next call, if something has to be read or written. */
     std::optional<platform_request> nextCall();
 
--- a/packages/process/singleton_work.cpp
+++ b/packages/process/singleton_work.cpp
@@ -118,6 +118,12 @@
 {
     const call_owner owner = std::exchange(m_owner, call_owner::None);
     if (owner == call_owner::Lease) {
+        const bool isLost = m_lease.isHeld(now) && !isOk(outcome)
+                            && errorOf(outcome).kind == error_kind::Conflict;
+        if (isLost) {
+            // The store came back from an older copy, and other writes under the lease may be lost.
+            restartWrites();
+        }
         m_lease.onResult(outcome, now);
         return;
     }
@@ -135,6 +141,15 @@
     }
 }
 
+void singleton_work::restartWrites()
+{
+    for (auto &[domain, object] : m_status) {
+        object.restart();
+    }
+    m_listedEpoch = 0;
+    m_snapshotNote = {};
+}
+
 void singleton_work::onSnapshotResult(const result<platform_answer> &outcome)
 {
     if (!isOk(outcome)) {
--- a/packages/process/singleton_work.h
+++ b/packages/process/singleton_work.h
@@ -51,6 +51,7 @@
     void updateStatus(const membership &members, time_point now);
     std::optional<platform_request> nextStatusCall();
     std::optional<platform_request> nextSnapshotCall();
+    void restartWrites();
     void onSnapshotResult(const result<platform_answer> &outcome);
 
     const intent_snapshots &m_snapshots;
--- a/tests/process/intent_sync_test.cpp
+++ b/tests/process/intent_sync_test.cpp
@@ -142,6 +142,18 @@
     CHECK(fleet.runUntilAllHave(fleet.acceptNote(), 60s) <= 12s);
 }
 
+TEST_CASE_FIXTURE(intent_sync_fixture,
+                  "store back from an older copy, lost status, is written again under the lease")
+{
+    fleet.run(30s);
+    REQUIRE(fleet.platform.value("status/domain-0") != nullptr);
+    fleet.platform.restoreCopy(0, fleet.now());
+    REQUIRE(fleet.platform.value("status/domain-0") == nullptr);
+    fleet.run(60s);
+    CHECK(leaseHolders().size() == 1);
+    CHECK(fleet.platform.value("status/domain-0") != nullptr);
+}
+
 TEST_CASE_FIXTURE(intent_sync_fixture,
                   "intent sync, partition while a note spreads, both sides agree")
 {
