Forget an older report of a server once a list lacks the server

Cause: the list passed over servers that had already departed, and with them over the copy's report that was to take effect later. Test: 'server that left, only in the first list of an older copy*' fails on the code before.

--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -264,8 +264,11 @@
     m_serversListed = true;
     std::vector<directory_change> changes;
     for (auto &[name, known] : m_servers) {
-        if (listedNames.contains(name) || known.server.position > listPosition || known.departedAt
-            || known.lapsesAt) {
+        if (listedNames.contains(name) || known.server.position > listPosition) {
+            continue;
+        }
+        known.outdatedEntry.reset();
+        if (known.departedAt || known.lapsesAt) {
             continue;
         }
         changes.push_back(removeServer(name, known, listPosition, now));
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -294,6 +294,17 @@
     CHECK(availability(1) == server_availability::Departed);
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that left, only in the first list of an older copy, is not used again")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, true), 20), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    listCopy({report(5, false), samples::entry(2, "b")});
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {1, 12}, now + 2s);
+    subject.expire(now + 10s);
+    CHECK(availability(1) == server_availability::Departed);
+}
+
 TEST_CASE_FIXTURE(directory_fixture,
                   "server that left, reports again after the store's return, is used again")
 {
