--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -22,6 +22,7 @@
     std::uint64_t era = 0; ///< Zero if the store does not tell it.
     std::uint64_t revision = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): see ids.h
     auto operator<=>(const store_position &) const = default;
 
     template <class Archive>
