--- a/packages/process/edge/http_platform_store.cpp
+++ b/packages/process/edge/http_platform_store.cpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace ebonyway {
 
@@ -25,6 +26,13 @@
     std::string body;
 };
 
+/** A successful answer that is a JSON object. */
+struct json_answer
+{
+    Json::Value root;
+    std::uint64_t era = 0; ///< Zero if the platform does not tell it.
+};
+
 /** Header in which the platform tells how often its store has come back from an older copy. */
 const std::string EraHeader = "Store-Era";
 
@@ -139,7 +147,7 @@
     return "\"" + version.substr(version.find(EraSeparator) + 1) + "\"";
 }
 
-result<Json::Value> sendJsonGet(http_call_registry &calls, const endpoint &server,
+result<json_answer> sendJsonGet(http_call_registry &calls, const endpoint &server,
                                 const std::string &path, const httplib::Params &query,
                                 std::chrono::milliseconds limit)
 {
@@ -154,15 +162,15 @@
     if (!isOk(parsed)) {
         return notUnderstood(server, errorOf(parsed).message);
     }
-    return parsed;
+    return json_answer{std::move(valueOf(parsed)), valueOf(answer).era};
 }
 
-result<object_list> readObjectList(const endpoint &server, const result<Json::Value> &answer)
+result<object_list> readObjectList(const endpoint &server, const result<json_answer> &answer)
 {
     if (!isOk(answer)) {
         return errorOf(answer);
     }
-    const Json::Value &root = valueOf(answer);
+    const Json::Value &root = valueOf(answer).root;
     if (!root["objects"].isArray() || !root["revision"].isUInt64()) {
         return notUnderstood(server, "objects or revision is missing");
     }
@@ -252,7 +260,9 @@
                                               timeout limit)
 {
     const httplib::Params query{{"prefix", prefix}, {"after", after}};
-    return readObjectList(m_platform, sendJsonGet(m_calls, m_platform, "/objects", query, limit));
+    const auto answer = sendJsonGet(m_calls, m_platform, "/objects", query, limit);
+    noteEra(isOk(answer) ? valueOf(answer).era : 0);
+    return readObjectList(m_platform, answer);
 }
 
 result<object_list> http_platform_store::watch(const std::string &prefix, std::uint64_t revision,
@@ -261,21 +271,24 @@
     const httplib::Params query{{"prefix", prefix},
                                 {"revision", std::to_string(revision)},
                                 {"timeout_ms", std::to_string(limit.count())}};
-    return readObjectList(m_platform,
-                          sendJsonGet(m_calls, m_platform, "/watch", query, limit + WatchMargin));
+    const auto answer = sendJsonGet(m_calls, m_platform, "/watch", query, limit + WatchMargin);
+    noteEra(isOk(answer) ? valueOf(answer).era : 0);
+    return readObjectList(m_platform, answer);
 }
 
 result<std::vector<platform_instance>> http_platform_store::instances(timeout limit)
 {
-    const result<Json::Value> answer = sendJsonGet(m_calls, m_platform, "/instances", {}, limit);
+    const result<json_answer> answer = sendJsonGet(m_calls, m_platform, "/instances", {}, limit);
     if (!isOk(answer)) {
         return errorOf(answer);
     }
-    if (!valueOf(answer)["instances"].isArray()) {
+    noteEra(valueOf(answer).era);
+    const Json::Value &instances = valueOf(answer).root["instances"];
+    if (!instances.isArray()) {
         return notUnderstood(m_platform, "instances is missing");
     }
     std::vector<platform_instance> listed;
-    for (const Json::Value &item : valueOf(answer)["instances"]) {
+    for (const Json::Value &item : instances) {
         if (!item.isObject() || !item["id"].isUInt() || !item["state"].isString()
             || !item["failure_domain"].isString() || !item["gossip"].isString()) {
             return notUnderstood(m_platform, "an instance lacks a field");
--- a/tests/process/edge/http_platform_store_test.cpp
+++ b/tests/process/edge/http_platform_store_test.cpp
@@ -117,6 +117,19 @@
     CHECK(isOk(subject.update("leases/status", "third", current, 5s)));
 }
 
+TEST_CASE_FIXTURE(http_platform_store_fixture,
+                  "update on a version of an earlier era, era known from a watch, is not sent")
+{
+    http_platform_store subject(address);
+    era = "1";
+    const std::string version = valueOf(subject.get("leases/status", 5s)).version;
+    era = "2";
+    body = R"({"objects": [], "revision": 9})";
+    REQUIRE(isOk(subject.watch("notes/", 9, 250ms)));
+    CHECK(kindOf(subject.update("leases/status", "mine", version, 5s)) == error_kind::Conflict);
+    CHECK(received.method == "GET");
+}
+
 TEST_CASE_FIXTURE(http_platform_store_fixture,
                   "platform over HTTP, failures, keep the write's outcome")
 {
