Pass on to peers the entries of an older copy that are not in effect yet

Its entry lapsed while it could not reach the store, and the older copy holds the entry again. The server's reports then change nothing but their count, so the entry is not written anew; the reader uses it after five heartbeats, and no position of the store changes at that moment, so no peer asks the reader again. Change: exported knowledge has these entries with the rest of their grace period, and the receiver ends it itself. A sender that is behind is not believed, since a list may have lacked the server since. New format number of the knowledge. Test: 'server that lapsed, in an older copy, is used again by instances without a watch' fails on the code before for an instance that knew the server and for one that starts. '*in an older copy that a peer still has*' passes before and after; it guards the change.

--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -11,7 +11,7 @@
 // Numbers that identify the type and version of heartbeats and of encoded knowledge. Instances with
 // different versions reject each other's messages and read the store themselves.
 constexpr std::uint32_t MessageVersion = 0x45570004;
-constexpr std::uint32_t KnowledgeVersion = 0x45580003;
+constexpr std::uint32_t KnowledgeVersion = 0x45580004;
 
 // Maximum size of encoded knowledge, enough for 2,800 backend servers and 1,800 routes. The limit
 // is not larger because a forged length field can make the decoder allocate some hundred times as
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -341,6 +341,7 @@
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
     takeOverLapses(exported, now);
+    takeOverOutdatedEntries(exported, now);
     return changes;
 }
 
@@ -364,6 +365,37 @@
     }
 }
 
+void directory_builder::takeOverOutdatedEntries(const exported_knowledge &exported, time_point now)
+{
+    const auto kind = static_cast<std::size_t>(store_kind::BackendServers);
+    if (exported.positions[kind] != m_positions[kind]) {
+        // The sender is behind; a list received since may lack these servers.
+        return;
+    }
+    for (const exported_object &item : exported.outdatedServers) {
+        if (!item.graceRemaining) {
+            continue;
+        }
+        const auto [found, isNew] = m_servers.try_emplace(item.name);
+        known_server &known = found->second;
+        const bool isGone = isNew || known.lapsesAt || known.departedAt;
+        if (!isGone && known.server.entry == item.server) {
+            continue;
+        }
+        if (isNew) {
+            adoptEntry(known, item.server, now);
+        }
+        if (isGone && !known.departedAt) {
+            known.lapsesAt.reset();
+            known.server.availability = server_availability::Departed;
+            known.departedAt = now;
+        }
+        known.server.position = std::max(known.server.position, item.position);
+        known.outdatedEntry = item.server;
+        known.outdatedUntil = now + *item.graceRemaining;
+    }
+}
+
 exported_knowledge directory_builder::exportKnowledge(time_point now) const
 {
     const auto remaining = [now](std::optional<time_point> end) {
@@ -386,6 +418,10 @@
         }
     }
     for (const auto &[name, known] : m_servers) {
+        if (known.outdatedEntry) {
+            exported.outdatedServers.push_back({name, known.server.position, *known.outdatedEntry,
+                                                remaining(known.outdatedUntil)});
+        }
         if (known.departedAt) {
             continue;
         }
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -113,6 +113,7 @@
                                    time_point now);
     /** Marks as lapsed here too what has lapsed at the instance that sent its knowledge. */
     void takeOverLapses(const exported_knowledge &exported, time_point now);
+    void takeOverOutdatedEntries(const exported_knowledge &exported, time_point now);
     void markColdAfterEvacuation(const std::string &failureDomain, time_point now);
     duration coldDurationOf(const std::string &service) const;
 
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -20,7 +20,7 @@
     std::string name;
     store_position position;
     registered_server server; ///< Set only for backend servers.
-    /** Set if the entry has lapsed: how much longer it counts as present. */
+    /** Rest of the grace period of the object; see directory_builder::expire(). */
     std::optional<std::chrono::milliseconds> graceRemaining;
 
     template <class Archive>
@@ -43,6 +43,8 @@
     desired_state desiredState;
     std::vector<exported_object> servers;
     std::vector<exported_object> evacuations; ///< The name of each is its failure domain.
+    /** Entries of an older copy of the store that take effect when their grace period ends. */
+    std::vector<exported_object> outdatedServers;
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -50,7 +52,8 @@
         for (store_position &position : positions) {
             archive(position);
         }
-        archive(hasDesiredState, desiredPosition, desiredState, servers, evacuations);
+        archive(hasDesiredState, desiredPosition, desiredState, servers, evacuations,
+                outdatedServers);
     }
 };
 
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -227,6 +227,41 @@
     CHECK(availabilityAtPeer() == server_availability::Departed);
 }
 
+TEST_CASE_FIXTURE(
+        directory_fixture,
+        "server that lapsed, in an older copy, is used again by instances without a watch")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, false), 20), now);
+    directory_builder peer{{1'200ms}};
+    subject.advancePosition(store_kind::BackendServers, {0, 20});
+    peer.integrate(subject.exportKnowledge(now), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    listCopy({report(9, false), samples::entry(2, "b")});
+    directory_builder starting{{1'200ms}};
+    for (directory_builder *other : {&peer, &starting}) {
+        other->integrate(subject.exportKnowledge(now + 1s), now + 1s);
+        other->expire(now + 5'900ms);
+        CHECK(other->snapshot()->candidates("desk").size() == 1);
+        other->expire(now + 6'100ms);
+        CHECK(other->snapshot()->candidates("desk").size() == 2);
+    }
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that left, in an older copy that a peer still has, is not used again")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, false), 20), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    listCopy({report(9, false), samples::entry(2, "b")});
+    directory_builder peer{{1'200ms}};
+    peer.integrate(subject.exportKnowledge(now), now);
+    subject.retainListed(store_kind::BackendServers, {"i-2"}, {1, 12}, now + 2s);
+    subject.advancePosition(store_kind::BackendServers, {1, 12});
+    subject.integrate(peer.exportKnowledge(now + 2s), now + 2s);
+    subject.expire(now + 10s);
+    CHECK(candidates() == 1);
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "peer knowledge, older, changes nothing")
 {
     directory_builder peer{{}};
