Take over what the store has lost from instances that ran before

Class: a position says what has been read, not what is remembered beyond it. Change: an instance that got its first knowledge from the store pulls once from one that started at least 2 s earlier and is not behind. At the same position a higher version of the desired state is adopted, and a server's later report counts as if the copy had contradicted it: the copy's entry takes effect if it outlives five heartbeats. Instances that started from such a peer's knowledge, and all on a first start, send no more than before. Emulated instances tell the virtual time of their start. Tests: 'instance started after the store's return*' (two) and 'instance that listed an older copy*' fail on the code before; 'peer knowledge, same position and newer count', 'peer started with it' and 'asks no more' pass before and after. First tests of instance_control alone.

--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -19,6 +19,12 @@
 constexpr std::uint16_t PeerPort = 7'720;
 constexpr std::size_t FlowCapacity = 65'536;
 
+std::uint64_t millisOf(time_point time)
+{
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
 } // namespace
 
 endpoint emulated_instance::addressOf(std::uint64_t instance)
@@ -37,7 +43,7 @@
     , m_omitted(omitted)
     , m_log("instance-" + std::to_string(m_where.id), queue, log)
     , m_control({"instance-" + std::to_string(m_where.id), m_where.failureDomain,
-                 addressOf(m_where.id), boot, seed, boot == 1},
+                 addressOf(m_where.id), millisOf(queue.now()), seed, boot == 1},
                 {}, *this, m_log)
     , m_forwarder({m_where.failureDomain, seed, FlowCapacity}, m_log.observer())
 { }
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -154,10 +154,24 @@
         return;
     }
     const auto source = m_peers.findPeerWithNewerPosition(m_knowledge.positions(), now);
-    if (!source) {
-        m_behindSince.reset();
+    if (source) {
+        pullNewerKnowledge(*source, now);
         return;
     }
+    m_behindSince.reset();
+    if (!m_snapshot || m_hasEarlierKnowledge) {
+        return;
+    }
+    // The store may have come back from an older copy just before this instance read it. Instances
+    // that ran before may remember later versions and reports.
+    const auto earlier = m_peers.findEarlierPeer(m_knowledge.positions(), now);
+    if (earlier) {
+        m_port.pullKnowledge(*earlier, now);
+    }
+}
+
+void instance_control::pullNewerKnowledge(const endpoint &source, time_point now)
+{
     if (!m_behindSince) {
         m_behindSince = now;
     }
@@ -166,7 +180,7 @@
     if (expectsStoreUpdate && now - *m_behindSince < MaxStoreLag) {
         return;
     }
-    m_port.pullKnowledge(*source, now);
+    m_port.pullKnowledge(source, now);
 }
 
 void instance_control::onKnowledge(const endpoint &from, const result<exported_knowledge> &outcome,
@@ -182,13 +196,14 @@
         m_peers.onPullFailed(from, now);
         return;
     }
+    m_hasEarlierKnowledge = m_hasEarlierKnowledge || m_peers.startedEarlier(from);
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
     m_log.write({log_level::Info,
                  "knowledge_pulled",
                  {{"from", from.toString()},
                   {"changes", std::uint64_t{changes.size()}},
                   {"behind_ms", behind}}});
-    if (!changes.empty() && m_follower.isReading() && m_snapshot) {
+    if (!changes.empty() && m_behindSince && m_follower.isReading() && m_snapshot) {
         // A working watch would have delivered these changes first, so the watches may be dead.
         m_log.write({log_level::Warn, "store_watch_lags", {{"from", from.toString()}}});
         m_follower.restartCalls(now);
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -104,6 +104,7 @@
     void sendHeartbeat(bool afterChange, time_point now);
     void sendHeartbeatTo(const heartbeat_targets &targets, time_point now);
     void pullKnowledge(time_point now);
+    void pullNewerKnowledge(const endpoint &source, time_point now);
     void logStoreEvents();
     void logAndPublish(const std::vector<directory_change> &changes, time_point now);
     void publishKnowledge(time_point now);
@@ -123,6 +124,8 @@
     std::set<std::string> m_silentDomains;
     bool m_canServe = true; ///< A usable backend server is in reach, or no domain is silent.
     std::optional<time_point> m_behindSince; ///< Set while a peer has newer knowledge.
+    /** An instance that ran before this one has handed over its knowledge. */
+    bool m_hasEarlierKnowledge = false;
     time_point m_startedAt;
     time_point m_nextHeartbeat;
     time_point m_nextExpiry;
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -44,6 +44,10 @@
 // has it. A failed pull takes 500 ms, so two others can be asked meanwhile.
 constexpr duration FailedPullAvoidance = 1500ms;
 
+// How much earlier an instance must have started to count as one that ran before this one. All
+// instances of a deployment start within 300 ms, and their wall clocks differ.
+constexpr std::chrono::milliseconds MinEarlierStart = 2s;
+
 // Maximum number of other instances listed in a heartbeat; at 60 bytes each they leave room for
 // loads.
 constexpr std::size_t MaxListedPeers = 6;
@@ -216,6 +220,44 @@
     return best ? std::optional(best->entry.address) : std::nullopt;
 }
 
+bool peer_directory::startedEarlier(const peer_record &peer) const
+{
+    return peer.heardDirectly
+           && peer.entry.boot + static_cast<std::uint64_t>(MinEarlierStart.count()) < m_self.boot;
+}
+
+bool peer_directory::startedEarlier(const endpoint &address) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return item.second.entry.address == address && startedEarlier(item.second);
+    });
+}
+
+std::optional<endpoint> peer_directory::findEarlierPeer(const known_positions &own, time_point now)
+{
+    std::vector<endpoint> near;
+    std::vector<endpoint> far;
+    for (const auto &[name, peer] : m_peers) {
+        const bool hasJustFailed =
+                peer.pullFailedAt && now - *peer.pullFailedAt < FailedPullAvoidance;
+        if (!isLive(peer, now) || !startedEarlier(peer) || hasJustFailed) {
+            continue;
+        }
+        bool isBehind = false;
+        for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
+            isBehind = isBehind || peer.positions[kind] < own[kind];
+        }
+        if (isBehind) {
+            continue;
+        }
+        const bool isNear = peer.entry.failureDomain == m_self.failureDomain;
+        (isNear ? near : far).push_back(peer.entry.address);
+    }
+    const std::vector<endpoint> &candidates = near.empty() ? far : near;
+    return candidates.empty() ? std::nullopt
+                              : std::optional(candidates[m_random.below(candidates.size())]);
+}
+
 void peer_directory::onPullFailed(const endpoint &address, time_point now)
 {
     for (auto &[name, peer] : m_peers) {
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -72,6 +72,14 @@
     std::optional<endpoint> findPeerWithNewerPosition(const known_positions &own,
                                                       time_point now) const;
 
+    /**
+     * Returns the address of a random live instance that started well before this one and whose
+     * positions are not older than the given ones, preferably of the own failure domain.
+     */
+    std::optional<endpoint> findEarlierPeer(const known_positions &own, time_point now);
+    /** Returns whether the instance at `address` started well before this one. */
+    bool startedEarlier(const endpoint &address) const;
+
     /** Must be called when the instance at `address` has not handed over its knowledge. */
     void onPullFailed(const endpoint &address, time_point now);
 
@@ -91,6 +99,7 @@
 
 private:
     bool isLive(const peer_record &peer, time_point now) const;
+    bool startedEarlier(const peer_record &peer) const;
     void addReportedPeer(const peer_entry &entry, time_point now);
 
     peer_entry m_self;
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -61,10 +61,12 @@
                                                              time_point now)
 {
     const auto found = m_servers.find(object.name);
+    const auto *entry = object.value ? std::get_if<registered_server>(&*object.value) : nullptr;
     if (found != m_servers.end() && object.position() <= found->second.server.position) {
-        return {};
+        const bool isSameChange = entry && object.position() == found->second.server.position;
+        return isSameChange ? applyLostReport(object, found->second, *entry, now)
+                            : std::vector<directory_change>{};
     }
-    const auto *entry = object.value ? std::get_if<registered_server>(&*object.value) : nullptr;
     if (!entry) {
         const bool unusable = !object.deleted;
         if (found == m_servers.end()) {
@@ -99,6 +101,28 @@
     return {{"backend_server_updated", object.name, object.revision, describeServer(*entry)}};
 }
 
+std::vector<directory_change> directory_builder::applyLostReport(const store_object &object,
+                                                                 known_server &known,
+                                                                 const registered_server &entry,
+                                                                 time_point now)
+{
+    const registered_server last = known.server.entry;
+    registered_server counted = entry;
+    counted.reportCount = last.reportCount;
+    counted.coldRemaining = last.coldRemaining;
+    const bool isLater = std::pair(entry.startedAt, entry.reportCount)
+                         > std::pair(last.startedAt, last.reportCount);
+    if (known.departedAt || !isLater || counted == last) {
+        return {};
+    }
+    const registered_server inStore = known.outdatedEntry.value_or(last);
+    adoptEntry(known, entry, now);
+    known.outdatedEntry = inStore;
+    known.outdatedUntil = now + m_times.heartbeat * OutdatedEntryHeartbeats;
+    return {{"backend_server_updated", object.name, object.revision,
+             describeServer(entry) + ", lost by the store"}};
+}
+
 bool directory_builder::isOutdated(const known_server &known, const store_object &object,
                                    const registered_server &entry)
 {
@@ -143,16 +167,18 @@
 
 std::vector<directory_change> directory_builder::applyDesiredState(const store_object &object)
 {
-    if (object.position() <= m_routesPosition) {
+    const auto *state = object.value ? std::get_if<desired_state>(&*object.value) : nullptr;
+    // A peer may know a version that the store has lost.
+    const bool isLaterVersion = state && m_routes && state->version > m_routes->version;
+    if (object.position() <= m_routesPosition && !isLaterVersion) {
         return {};
     }
-    const auto *state = object.value ? std::get_if<desired_state>(&*object.value) : nullptr;
     if (!state) {
         return {{"desired_state_ignored", object.name, object.revision,
                  object.deleted ? "it was deleted; the last version remains in effect"
                                 : object.fault}};
     }
-    m_routesPosition = object.position();
+    m_routesPosition = std::max(m_routesPosition, object.position());
     // A version that the store lost may have been written again with another content.
     if (m_routes && state->version < m_routes->version) {
         return {{"desired_state_ignored", object.name, object.revision,
@@ -312,7 +338,8 @@
     std::vector<directory_change> changes;
     const auto merge = [&](store_kind kind, const std::vector<store_object> &objects) {
         const store_position position = exported.positions[static_cast<std::size_t>(kind)];
-        if (position <= m_positions[static_cast<std::size_t>(kind)]) {
+        const store_position own = m_positions[static_cast<std::size_t>(kind)];
+        if (position < own) {
             return;
         }
         std::set<std::string> names;
@@ -320,6 +347,9 @@
             names.insert(object.name);
             std::ranges::move(apply(kind, object, now), std::back_inserter(changes));
         }
+        if (position == own) {
+            return;
+        }
         std::ranges::move(retainListed(kind, names, position, now), std::back_inserter(changes));
         advancePosition(kind, position);
     };
@@ -372,20 +402,20 @@
         // The sender is behind; a list received since may lack these servers.
         return;
     }
+    std::set<std::string> present;
+    for (const exported_object &item : exported.servers) {
+        present.insert(item.name);
+    }
     for (const exported_object &item : exported.outdatedServers) {
         if (!item.graceRemaining) {
             continue;
         }
         const auto [found, isNew] = m_servers.try_emplace(item.name);
         known_server &known = found->second;
-        const bool isGone = isNew || known.lapsesAt || known.departedAt;
-        if (!isGone && known.server.entry == item.server) {
-            continue;
-        }
         if (isNew) {
             adoptEntry(known, item.server, now);
         }
-        if (isGone && !known.departedAt) {
+        if (!present.contains(item.name) && !known.departedAt) {
             known.lapsesAt.reset();
             known.server.availability = server_availability::Departed;
             known.departedAt = now;
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -63,7 +63,10 @@
     /** Returns whether a desired state and a first list of backend servers are known. */
     bool isComplete() const { return m_routes && m_serversListed; }
 
-    /** Merges newer knowledge from another instance. Returns the resulting changes. */
+    /**
+     * Merges knowledge from another instance: newer objects, and at the same position what the
+     * other one remembers although the store has lost it. Returns the resulting changes.
+     */
     std::vector<directory_change> integrate(const exported_knowledge &exported, time_point now);
     /** Returns the current knowledge in the form that is sent to other instances. */
     exported_knowledge exportKnowledge(time_point now) const;
@@ -100,6 +103,9 @@
     std::vector<directory_change> applyDesiredState(const store_object &object);
     std::vector<directory_change> applyEvacuation(const store_object &object, time_point now);
     void adoptEntry(known_server &known, const registered_server &entry, time_point now);
+    /** Applies a report that the sender remembers although an older copy of the store lacks it. */
+    std::vector<directory_change> applyLostReport(const store_object &object, known_server &known,
+                                                  const registered_server &entry, time_point now);
     static bool isOutdated(const known_server &known, const store_object &object,
                            const registered_server &entry);
     directory_change removeServer(const std::string &name, known_server &known,
--- /dev/null
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -0,0 +1,119 @@
+#include "forwarding/directory_samples.h"
+#include "forwarding/process/instance_control.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+namespace ebonyway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Records what the instance requests; pulls are answered by the test. */
+class recording_port : public control_port
+{
+public:
+    void startStoreCall(const store_call &) override { }
+    void cancelStoreCall(store_kind) override { }
+    void sendHeartbeat(const peer_message &, std::span<const endpoint>) override { }
+    void pullKnowledge(const endpoint &from, time_point) override { pulls.push_back(from); }
+    bool isPulling() const override { return pulls.size() > answeredPulls; }
+    void publish(std::shared_ptr<const directory> snapshot) override { published = snapshot; }
+    void publishPeerView(peer_view) override { }
+
+    std::vector<endpoint> pulls;
+    std::size_t answeredPulls = 0;
+    std::shared_ptr<const directory> published;
+};
+
+class silent_log : public event_log
+{
+public:
+    void write(const log_line &) override { }
+};
+
+/** An instance that starts right after the store has come back from an older copy. */
+struct started_instance_fixture
+{
+    time_point now{1'000s};
+    recording_port port;
+    silent_log log;
+    endpoint own{samples::address(0x0a010001, 7'720)};
+    endpoint peer{samples::address(0x0a010002, 7'720)};
+    instance_control subject{{"one", "a", own, 60'000, 1, false}, {}, port, log};
+
+    started_instance_fixture() { subject.start({peer}, now); }
+
+    void answerStore(store_kind kind, std::vector<store_object> objects)
+    {
+        for (store_object &object : objects) {
+            object.era = 2;
+        }
+        subject.onStoreAnswer(kind, store_page{std::move(objects), 8, false, "", 2}, now);
+    }
+    void listCopy()
+    {
+        answerStore(store_kind::DesiredState, {samples::object(samples::desiredState(4), 3)});
+        answerStore(store_kind::BackendServers, {samples::object(samples::entry(1, "a"), 4)});
+        answerStore(store_kind::Evacuations, {});
+    }
+    void hearPeer(std::uint64_t boot)
+    {
+        const peer_message message{
+                {"two", "a", peer, boot, 5, true, false}, samples::positions(8, 2), {}, {}};
+        subject.onPeerMessage(message, now);
+        subject.tick(now + 50ms);
+    }
+    /** Knowledge of a peer that has the same position and remembers a later version. */
+    exported_knowledge peerKnowledge()
+    {
+        exported_knowledge known = subject.knowledge().exportKnowledge(now);
+        known.positions = samples::positions(8, 2);
+        known.hasDesiredState = true;
+        known.desiredState = samples::desiredState(7);
+        known.desiredPosition = {2, 3};
+        return known;
+    }
+    void answerPull()
+    {
+        ++port.answeredPulls;
+        subject.onKnowledge(peer, peerKnowledge(), now + 100ms);
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "instance that listed an older copy, peer ran before, takes what the store lost")
+{
+    listCopy();
+    CHECK(port.published->routes().version == 4);
+    hearPeer(10'000);
+    REQUIRE(port.pulls.size() == 1);
+    answerPull();
+    CHECK(port.published->routes().version == 7);
+    hearPeer(10'000);
+    CHECK(port.pulls.size() == 1);
+}
+
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "instance that listed the store, peer started with it, is not asked")
+{
+    listCopy();
+    hearPeer(59'800);
+    CHECK(port.pulls.empty());
+}
+
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "instance with the knowledge of an earlier peer, same position, asks no more")
+{
+    hearPeer(10'000);
+    REQUIRE(port.pulls.size() == 1);
+    answerPull();
+    hearPeer(10'000);
+    CHECK(port.pulls.size() == 1);
+}
+
+} // namespace ebonyway
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -29,17 +29,18 @@
         return subject.snapshot()->byToken(tokenOf(server_key{key}))->availability;
     }
     /** Lists the servers of an older copy of the store, in the era after the fixture's. */
-    void listCopy(const std::vector<registered_server> &servers)
+    void listCopy(const std::vector<registered_server> &servers) { listCopy(subject, servers); }
+    void listCopy(directory_builder &lister, const std::vector<registered_server> &servers)
     {
         std::set<std::string> names;
         for (const registered_server &server : servers) {
             store_object object = samples::object(server, 4);
             object.era = 1;
             names.insert(object.name);
-            subject.apply(store_kind::BackendServers, object, now);
+            lister.apply(store_kind::BackendServers, object, now);
         }
-        subject.retainListed(store_kind::BackendServers, names, {1, 8}, now);
-        subject.advancePosition(store_kind::BackendServers, {1, 8});
+        lister.retainListed(store_kind::BackendServers, names, {1, 8}, now);
+        lister.advancePosition(store_kind::BackendServers, {1, 8});
     }
 
     /** Report of the server with key 1. */
@@ -262,6 +263,54 @@
     CHECK(candidates() == 1);
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "instance started after the store's return, peer's later reports, are taken over")
+{
+    subject.apply(store_kind::DesiredState, samples::object(samples::desiredState(7), 19), now);
+    subject.apply(store_kind::BackendServers, samples::object(report(9, true), 20), now);
+    directory_builder starting{{1'200ms}};
+    for (directory_builder *each : {&subject, &starting}) {
+        store_object copied = samples::object(samples::desiredState(4), 3);
+        copied.era = 1;
+        each->apply(store_kind::DesiredState, copied, now);
+        each->advancePosition(store_kind::DesiredState, {1, 8});
+        listCopy(*each, {report(5, false), samples::entry(2, "b")});
+    }
+    starting.integrate(subject.exportKnowledge(now), now);
+    CHECK(starting.desiredVersion() == 7);
+    CHECK(starting.snapshot()->byToken(tokenOf(server_key{1}))->availability
+          == server_availability::Draining);
+    CHECK(starting.snapshot()->candidates("desk").size() == 1);
+    starting.expire(now + 7s);
+    CHECK(starting.snapshot()->candidates("desk").size() == 2);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "instance started after the store's return, server gone, is not used")
+{
+    subject.apply(store_kind::BackendServers, samples::object(report(9, true), 20), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(1, 21), now);
+    directory_builder starting{{1'200ms}};
+    for (directory_builder *each : {&subject, &starting}) {
+        listCopy(*each, {report(5, false), samples::entry(2, "b")});
+    }
+    starting.integrate(subject.exportKnowledge(now), now);
+    starting.apply(store_kind::DesiredState, samples::object(samples::desiredState(5), 10), now);
+    CHECK(starting.snapshot()->candidates("desk").size() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "peer knowledge, same position and newer count, changes nothing")
+{
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
+    directory_builder peer{{1'200ms}};
+    registered_server counted = samples::entry(1, "a");
+    counted.reportCount = 4;
+    peer.apply(store_kind::BackendServers, samples::object(counted, 11), now);
+    peer.advancePosition(store_kind::BackendServers, {0, 12});
+    CHECK(subject.integrate(peer.exportKnowledge(now), now).empty());
+}
+
 TEST_CASE_FIXTURE(directory_fixture, "peer knowledge, older, changes nothing")
 {
     directory_builder peer{{}};
