Send only changes to other instances

Cause: on every change each instance of a failure domain pulled the complete knowledge of the one that reads the store, desired state included. While servers come and go that is up to five times a second, half a megabyte each, from one process with a link of 10 Mbit/s and a few hundredths of a core, so half of the pulls ended after 0.5 s and an instance learned of a drain seconds later. The delay grows with routes and with instances. Class: the cost of one small change was the size of everything. Change: a pull tells the positions of the puller and gets what changed after them: servers, departures, and the desired state only if it is newer. Complete knowledge is sent to an instance that starts, after a change of the store's era, and if departures since were already removed. New format number. Ruled out by the logs: a silent watch of the readers; they knew of each drain within milliseconds.

--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -151,9 +151,9 @@
     });
 }
 
-std::optional<exported_knowledge> emulated_instance::pass() const
+std::optional<exported_knowledge> emulated_instance::pass(const known_positions &since) const
 {
-    return m_alive && !m_frozen ? m_control.exportKnowledge(m_queue.now()) : std::nullopt;
+    return m_alive && !m_frozen ? m_control.exportKnowledge(m_queue.now(), since) : std::nullopt;
 }
 
 void emulated_instance::startStoreCall(const store_call &call)
@@ -207,13 +207,14 @@
     }
 }
 
-void emulated_instance::pullKnowledge(const endpoint &from, time_point)
+void emulated_instance::pullKnowledge(const endpoint &from, const known_positions &since,
+                                      time_point)
 {
     if (omits(omitted_mechanism::StoreAfterRestart) && m_boot > 1) {
         return;
     }
     m_pullNumber = ++m_pulls;
-    m_port.pullKnowledge(m_where, from);
+    m_port.pullKnowledge(m_where, from, since);
     m_queue.after(PullTimeout, [this, from, number = m_pullNumber] {
         if (!m_alive || m_pullNumber != number) {
             return;
--- a/packages/emulator/emulated_instance.h
+++ b/packages/emulator/emulated_instance.h
@@ -39,7 +39,8 @@
     virtual void sendHeartbeat(const place &from, const endpoint &to,
                                const peer_message &message) = 0;
     /** Asks an instance for its knowledge; the answer, if any, goes to onKnowledge(). */
-    virtual void pullKnowledge(const place &from, const endpoint &to) = 0;
+    virtual void pullKnowledge(const place &from, const endpoint &to,
+                               const known_positions &since) = 0;
 };
 
 /** One process of an instance under virtual time, with the product's own decisions. */
@@ -60,7 +61,7 @@
     void onPacket(const caller_packet &packet);
     void onPeerMessage(const peer_message &message);
     void onKnowledge(const endpoint &from, const exported_knowledge &known);
-    std::optional<exported_knowledge> pass() const;
+    std::optional<exported_knowledge> pass(const known_positions &since) const;
 
     /** Returns whether it answers the routers that it takes packets. */
     bool isReady() const { return m_alive && !m_frozen && m_control.isReady(); }
@@ -77,7 +78,7 @@
     void startStoreCall(const store_call &call) override;
     void cancelStoreCall(store_kind kind) override;
     void sendHeartbeat(const peer_message &message, std::span<const endpoint> targets) override;
-    void pullKnowledge(const endpoint &from, time_point now) override;
+    void pullKnowledge(const endpoint &from, const known_positions &since, time_point now) override;
     bool isPulling() const override { return m_pullNumber != 0; }
     void publish(std::shared_ptr<const directory> known) override;
     void publishPeerView(peer_view view) override;
--- a/packages/emulator/emulation.cpp
+++ b/packages/emulator/emulation.cpp
@@ -284,14 +284,14 @@
     m_network.send(from, target->where(), [target, message] { target->onPeerMessage(message); });
 }
 
-void emulation::pullKnowledge(const place &from, const endpoint &to)
+void emulation::pullKnowledge(const place &from, const endpoint &to, const known_positions &since)
 {
     emulated_instance *source = instanceAt(to);
     if (!source) {
         return;
     }
-    m_network.send(from, source->where(), [this, from, to, source] {
-        const auto known = source->pass();
+    m_network.send(from, source->where(), [this, from, to, since, source] {
+        const auto known = source->pass(since);
         if (!known) {
             return;
         }
--- a/packages/emulator/emulation.h
+++ b/packages/emulator/emulation.h
@@ -54,7 +54,8 @@
     void sendReset(const place &from, const caller_packet &packet,
                    forwarding_refusal reason) override;
     void sendHeartbeat(const place &from, const endpoint &to, const peer_message &message) override;
-    void pullKnowledge(const place &from, const endpoint &to) override;
+    void pullKnowledge(const place &from, const endpoint &to,
+                       const known_positions &since) override;
 
     // Building the deployment.
     void writeDesiredState();
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -22,8 +22,9 @@
 // answer within milliseconds.
 constexpr duration PullTimeout = 500ms;
 
-// HTTP path at which an instance serves its knowledge to its peers.
-constexpr const char *KnowledgePath = "/knowledge";
+// Start of the HTTP path at which an instance serves its knowledge to its peers. The positions of
+// the peer follow.
+const std::string KnowledgePath = "/knowledge/";
 
 // Interval for checking the settings file and reporting suppressed log lines.
 constexpr duration SlowTickInterval = 500ms;
@@ -169,14 +170,15 @@
     m_instanceControl.onPeerMessage(valueOf(message), std::chrono::steady_clock::now());
 }
 
-void forwarding_daemon::pullKnowledge(const endpoint &from, time_point now)
+void forwarding_daemon::pullKnowledge(const endpoint &from, const known_positions &since,
+                                      time_point now)
 {
     if (!m_peerClient || m_peerClientAddress != from) {
         m_peerClient = std::make_unique<http_client>(m_controlThread.loop(), from);
         m_peerClientAddress = from;
     }
     m_peerClient->call(
-            "GET", KnowledgePath, "", now + PullTimeout,
+            "GET", KnowledgePath + encodePositions(since), "", now + PullTimeout,
             [this, from](const result<http_response> &outcome) { onKnowledge(from, outcome); });
 }
 
@@ -210,8 +212,13 @@
 
 http_page forwarding_daemon::knowledgePage(const std::string &path) const
 {
-    const auto knowledge = m_instanceControl.exportKnowledge(std::chrono::steady_clock::now());
-    if (path != KnowledgePath || !knowledge) {
+    const auto since = path.starts_with(KnowledgePath)
+                               ? decodePositions(path.substr(KnowledgePath.size()))
+                               : std::nullopt;
+    const auto knowledge =
+            since ? m_instanceControl.exportKnowledge(std::chrono::steady_clock::now(), *since)
+                  : std::nullopt;
+    if (!knowledge) {
         return {404, "text/plain", "no such page\n"};
     }
     return {200, "application/octet-stream", encodeKnowledge(*knowledge)};
--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -49,7 +49,7 @@
     void startStoreCall(const store_call &call) override { m_store->start(call); }
     void cancelStoreCall(store_kind kind) override { m_store->cancel(kind); }
     void sendHeartbeat(const peer_message &message, std::span<const endpoint> targets) override;
-    void pullKnowledge(const endpoint &from, time_point now) override;
+    void pullKnowledge(const endpoint &from, const known_positions &since, time_point now) override;
     bool isPulling() const override { return m_peerClient && m_peerClient->isBusy(); }
     void publish(std::shared_ptr<const directory> snapshot) override;
     void publishPeerView(peer_view view) override;
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -166,7 +166,7 @@
     // that ran before may remember later versions and reports.
     const auto earlier = m_peers.findEarlierPeer(m_knowledge.positions(), now);
     if (earlier) {
-        m_port.pullKnowledge(*earlier, now);
+        m_port.pullKnowledge(*earlier, {}, now);
     }
 }
 
@@ -180,7 +180,7 @@
     if (expectsStoreUpdate && now - *m_behindSince < MaxStoreLag) {
         return;
     }
-    m_port.pullKnowledge(source, now);
+    m_port.pullKnowledge(source, m_snapshot ? m_knowledge.positions() : known_positions{}, now);
 }
 
 void instance_control::onKnowledge(const endpoint &from, const result<exported_knowledge> &outcome,
@@ -212,9 +212,10 @@
     updateReading(now);
 }
 
-std::optional<exported_knowledge> instance_control::exportKnowledge(time_point now) const
+std::optional<exported_knowledge>
+instance_control::exportKnowledge(time_point now, const known_positions &since) const
 {
-    return m_knowledge.isComplete() ? std::optional(m_knowledge.exportKnowledge(now))
+    return m_knowledge.isComplete() ? std::optional(m_knowledge.exportKnowledge(now, since))
                                     : std::nullopt;
 }
 
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -33,8 +33,12 @@
     virtual void startStoreCall(const store_call &call) = 0;
     virtual void cancelStoreCall(store_kind kind) = 0;
     virtual void sendHeartbeat(const peer_message &message, std::span<const endpoint> targets) = 0;
-    /** Requests the complete knowledge of another instance. Only one pull may run at a time. */
-    virtual void pullKnowledge(const endpoint &from, time_point now) = 0;
+    /**
+     * Requests from another instance what changed after the given positions, or its complete
+     * knowledge if they are empty. Only one pull may run at a time.
+     */
+    virtual void pullKnowledge(const endpoint &from, const known_positions &since,
+                               time_point now) = 0;
     virtual bool isPulling() const = 0;
     /** Passes a new snapshot to the traffic threads. */
     virtual void publish(std::shared_ptr<const directory> snapshot) = 0;
@@ -90,8 +94,12 @@
 
     /** Returns whether routers may send packets to this instance; answers their readiness check. */
     bool isReady() const;
-    /** Returns the knowledge to send to another instance, or nothing while it is incomplete. */
-    std::optional<exported_knowledge> exportKnowledge(time_point now) const;
+    /**
+     * Returns the knowledge to send to an instance that has applied all changes up to `since`, or
+     * nothing while the own knowledge is incomplete.
+     */
+    std::optional<exported_knowledge> exportKnowledge(time_point now,
+                                                      const known_positions &since) const;
 
     const directory_builder &knowledge() const { return m_knowledge; }
     const store_follower &follower() const { return m_follower; }
--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -2,6 +2,7 @@
 
 #include "core/bounded_archive.h"
 
+#include <charconv>
 #include <cstdint>
 
 namespace ebonyway {
@@ -11,7 +12,7 @@
 // Numbers that identify the type and version of heartbeats and of encoded knowledge. Instances with
 // different versions reject each other's messages and read the store themselves.
 constexpr std::uint32_t MessageVersion = 0x45570004;
-constexpr std::uint32_t KnowledgeVersion = 0x45580004;
+constexpr std::uint32_t KnowledgeVersion = 0x45580005;
 
 // Maximum size of encoded knowledge, enough for 2,800 backend servers and 1,800 routes. The limit
 // is not larger because a forged length field can make the decoder allocate some hundred times as
@@ -74,6 +75,41 @@
     return decode<peer_message>(MessageVersion, bytes);
 }
 
+std::string encodePositions(const known_positions &positions)
+{
+    std::string text;
+    for (const store_position &position : positions) {
+        text += (text.empty() ? "" : ",") + std::to_string(position.era) + "."
+                + std::to_string(position.revision);
+    }
+    return text;
+}
+
+std::optional<known_positions> decodePositions(const std::string &text)
+{
+    known_positions positions;
+    const char *at = text.data();
+    const char *end = text.data() + text.size();
+    const auto readNumber = [&](std::uint64_t &number, char separator) {
+        const auto read = std::from_chars(at, end, number);
+        const bool isLast = separator == '\0';
+        if (read.ec != std::errc() || (isLast ? read.ptr != end : read.ptr == end)
+            || (!isLast && *read.ptr != separator)) {
+            return false;
+        }
+        at = read.ptr + (isLast ? 0 : 1);
+        return true;
+    };
+    for (std::size_t kind = 0; kind < positions.size(); ++kind) {
+        const char separator = kind + 1 == positions.size() ? '\0' : ',';
+        if (!readNumber(positions[kind].era, '.')
+            || !readNumber(positions[kind].revision, separator)) {
+            return std::nullopt;
+        }
+    }
+    return positions;
+}
+
 std::string encodeKnowledge(const exported_knowledge &knowledge)
 {
     const std::vector<std::byte> bytes = encode(KnowledgeVersion, knowledge);
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -60,6 +61,11 @@
  */
 result<peer_message> decodePeerMessage(std::span<const std::byte> bytes);
 
+/** Encodes positions as text for the path of a request for knowledge. */
+std::string encodePositions(const known_positions &positions);
+/** Returns std::nullopt unless the text is what encodePositions() writes. */
+std::optional<known_positions> decodePositions(const std::string &text);
+
 /** Encodes knowledge as the body of an HTTP response to another instance. */
 std::string encodeKnowledge(const exported_knowledge &knowledge);
 /**
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -337,9 +337,11 @@
 {
     std::vector<directory_change> changes;
     const auto merge = [&](store_kind kind, const std::vector<store_object> &objects) {
+        const store_position since = exported.since[static_cast<std::size_t>(kind)];
         const store_position position = exported.positions[static_cast<std::size_t>(kind)];
         const store_position own = m_positions[static_cast<std::size_t>(kind)];
-        if (position < own) {
+        const bool isComplete = since == store_position{};
+        if (position < own || (!isComplete && own < since)) {
             return;
         }
         std::set<std::string> names;
@@ -347,10 +349,10 @@
             names.insert(object.name);
             std::ranges::move(apply(kind, object, now), std::back_inserter(changes));
         }
-        if (position == own) {
-            return;
+        if (isComplete && position != own) {
+            std::ranges::move(retainListed(kind, names, position, now),
+                              std::back_inserter(changes));
         }
-        std::ranges::move(retainListed(kind, names, position, now), std::back_inserter(changes));
         advancePosition(kind, position);
     };
     const auto objectOf = [](const std::string &name, store_position position, store_value value) {
@@ -358,16 +360,22 @@
     };
     std::vector<store_object> servers;
     for (const exported_object &item : exported.servers) {
-        servers.push_back(objectOf(item.name, item.position, item.server));
+        store_object object = objectOf(item.name, item.position, item.server);
+        if (item.departed) {
+            object.deleted = true;
+            object.value.reset();
+        }
+        servers.push_back(std::move(object));
     }
     std::vector<store_object> evacuations;
     for (const exported_object &item : exported.evacuations) {
         evacuations.push_back(objectOf(item.name, item.position, evacuation{item.name}));
     }
+    std::vector<store_object> states;
     if (exported.hasDesiredState) {
-        merge(store_kind::DesiredState,
-              {objectOf("", exported.desiredPosition, exported.desiredState)});
+        states.push_back(objectOf("", exported.desiredPosition, exported.desiredState));
     }
+    merge(store_kind::DesiredState, states);
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
     takeOverLapses(exported, now);
@@ -402,10 +410,6 @@
         // The sender is behind; a list received since may lack these servers.
         return;
     }
-    std::set<std::string> present;
-    for (const exported_object &item : exported.servers) {
-        present.insert(item.name);
-    }
     for (const exported_object &item : exported.outdatedServers) {
         if (!item.graceRemaining) {
             continue;
@@ -415,7 +419,7 @@
         if (isNew) {
             adoptEntry(known, item.server, now);
         }
-        if (!present.contains(item.name) && !known.departedAt) {
+        if (item.departed && !known.departedAt) {
             known.lapsesAt.reset();
             known.server.availability = server_availability::Departed;
             known.departedAt = now;
@@ -426,7 +430,8 @@
     }
 }
 
-exported_knowledge directory_builder::exportKnowledge(time_point now) const
+exported_knowledge directory_builder::exportKnowledge(time_point now,
+                                                      const known_positions &since) const
 {
     const auto remaining = [now](std::optional<time_point> end) {
         return end ? std::optional(std::chrono::ceil<std::chrono::milliseconds>(
@@ -435,7 +440,19 @@
     };
     exported_knowledge exported;
     exported.positions = m_positions;
-    if (m_routes) {
+    for (const store_kind kind : {store_kind::DesiredState, store_kind::BackendServers}) {
+        const auto index = static_cast<std::size_t>(kind);
+        const bool areChangesKnown =
+                since[index].era == m_positions[index].era
+                && (kind != store_kind::BackendServers || since[index] >= m_forgottenUpTo);
+        exported.since[index] = areChangesKnown ? since[index] : store_position{};
+    }
+    const store_position sinceState =
+            exported.since[static_cast<std::size_t>(store_kind::DesiredState)];
+    const store_position sinceServers =
+            exported.since[static_cast<std::size_t>(store_kind::BackendServers)];
+    const bool sendsAllServers = sinceServers == store_position{};
+    if (m_routes && (sinceState == store_position{} || m_routesPosition > sinceState)) {
         exported.hasDesiredState = true;
         exported.desiredPosition = m_routesPosition;
         exported.desiredState.version = m_routes->version;
@@ -448,21 +465,25 @@
         }
     }
     for (const auto &[name, known] : m_servers) {
+        exported_object item{
+                name, known.server.position, known.server.entry, known.departedAt.has_value(), {}};
         if (known.outdatedEntry) {
-            exported.outdatedServers.push_back({name, known.server.position, *known.outdatedEntry,
-                                                remaining(known.outdatedUntil)});
+            exported_object outdated = item;
+            outdated.server = *known.outdatedEntry;
+            outdated.graceRemaining = remaining(known.outdatedUntil);
+            exported.outdatedServers.push_back(std::move(outdated));
         }
-        if (known.departedAt) {
+        if (sendsAllServers ? item.departed : known.server.position <= sinceServers) {
             continue;
         }
-        exported_object item{name, known.server.position, known.server.entry, {}};
         item.server.coldRemaining = std::chrono::ceil<std::chrono::milliseconds>(
                 std::max(duration::zero(), known.server.coldUntil - now));
         item.graceRemaining = remaining(known.lapsesAt);
         exported.servers.push_back(std::move(item));
     }
     for (const auto &[domain, known] : m_evacuations) {
-        exported.evacuations.push_back({domain, known.position, {}, remaining(known.lapsesAt)});
+        exported.evacuations.push_back(
+                {domain, known.position, {}, false, remaining(known.lapsesAt)});
     }
     return exported;
 }
@@ -491,6 +512,7 @@
                                describeServer(entry)});
         }
         if (known.departedAt && now - *known.departedAt > DepartedRetention) {
+            m_forgottenUpTo = std::max(m_forgottenUpTo, known.server.position);
             it = m_servers.erase(it);
             continue;
         }
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -68,8 +68,11 @@
      * other one remembers although the store has lost it. Returns the resulting changes.
      */
     std::vector<directory_change> integrate(const exported_knowledge &exported, time_point now);
-    /** Returns the current knowledge in the form that is sent to other instances. */
-    exported_knowledge exportKnowledge(time_point now) const;
+    /**
+     * Returns the current knowledge in the form that is sent to another instance. For one that has
+     * applied all changes up to `since`, it holds only what changed after that, if this is known.
+     */
+    exported_knowledge exportKnowledge(time_point now, const known_positions &since = {}) const;
 
     /** Returns, per kind, the position up to which all changes have been applied. */
     const known_positions &positions() const { return m_positions; }
@@ -133,6 +136,7 @@
     std::map<std::string, store_position> m_endedEvacuations; ///< By failure domain.
     std::optional<time_point> m_lapseGraceUntil; ///< End of the grace period after an outage.
     known_positions m_positions{};
+    store_position m_forgottenUpTo; ///< Departures up to it may have been removed.
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -20,6 +20,7 @@
     std::string name;
     store_position position;
     registered_server server; ///< Set only for backend servers.
+    bool departed = false; ///< The entry of the backend server is gone or unusable.
     /** Rest of the grace period of the object; see directory_builder::expire(). */
     std::optional<std::chrono::milliseconds> graceRemaining;
 
@@ -29,15 +30,17 @@
         bool hasLapsed = graceRemaining.has_value();
         auto grace = static_cast<std::uint64_t>(
                 graceRemaining.value_or(std::chrono::milliseconds(0)).count());
-        archive(name, position, server, hasLapsed, grace);
+        archive(name, position, server, departed, hasLapsed, grace);
         graceRemaining = hasLapsed ? std::optional(std::chrono::milliseconds(grace)) : std::nullopt;
     }
 };
 
-/** Complete store knowledge of an instance, sent to one whose positions are older. */
+/** Store knowledge of an instance, sent to one whose positions are older. */
 struct exported_knowledge
 {
     known_positions positions{};
+    /** For each kind: if set, only what changed after this position is included. */
+    known_positions since{};
     bool hasDesiredState = false;
     store_position desiredPosition;
     desired_state desiredState;
@@ -52,6 +55,9 @@
         for (store_position &position : positions) {
             archive(position);
         }
+        for (store_position &position : since) {
+            archive(position);
+        }
         archive(hasDesiredState, desiredPosition, desiredState, servers, evacuations,
                 outdatedServers);
     }
--- a/tests/forwarding/process/instance_control_test.cpp
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -18,12 +18,17 @@
     void startStoreCall(const store_call &) override { }
     void cancelStoreCall(store_kind) override { }
     void sendHeartbeat(const peer_message &, std::span<const endpoint>) override { }
-    void pullKnowledge(const endpoint &from, time_point) override { pulls.push_back(from); }
+    void pullKnowledge(const endpoint &from, const known_positions &since, time_point) override
+    {
+        pulls.push_back(from);
+        pulledSince = since;
+    }
     bool isPulling() const override { return pulls.size() > answeredPulls; }
     void publish(std::shared_ptr<const directory> snapshot) override { published = snapshot; }
     void publishPeerView(peer_view) override { }
 
     std::vector<endpoint> pulls;
+    known_positions pulledSince{}; ///< Of the last pull.
     std::size_t answeredPulls = 0;
     std::shared_ptr<const directory> published;
 };
@@ -59,10 +64,10 @@
         answerStore(store_kind::BackendServers, {samples::object(samples::entry(1, "a"), 4)});
         answerStore(store_kind::Evacuations, {});
     }
-    void hearPeer(std::uint64_t boot)
+    void hearPeer(std::uint64_t boot, std::uint64_t revision = 8)
     {
         const peer_message message{
-                {"two", "a", peer, boot, 5, true, false}, samples::positions(8, 2), {}, {}};
+                {"two", "a", peer, boot, 5, true, false}, samples::positions(revision, 2), {}, {}};
         subject.onPeerMessage(message, now);
         subject.tick(now + 50ms);
     }
@@ -116,4 +121,27 @@
     CHECK(port.pulls.size() == 1);
 }
 
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "instance with complete knowledge, peer has changes, asks for these only")
+{
+    hearPeer(10'000);
+    CHECK(port.pulledSince == known_positions{});
+    answerPull();
+    hearPeer(10'000, 9);
+    subject.tick(now + 1s);
+    CHECK(port.pulls.size() == 2);
+    CHECK(port.pulledSince == samples::positions(8, 2));
+}
+
+TEST_CASE("positions of a peer, encoded and decoded, are the same")
+{
+    known_positions positions = samples::positions(8, 2);
+    positions[1] = {3, 1'234'567};
+    CHECK(decodePositions(encodePositions(positions)) == positions);
+    CHECK(decodePositions(encodePositions({})) == known_positions{});
+    for (const char *text : {"", "1.2,3.4", "1.2,3.4,5.6,", "1.2,3.4,5.6,7.8", "1.2,3.4,x.6"}) {
+        CHECK_FALSE(decodePositions(text));
+    }
+}
+
 } // namespace ebonyway
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -355,6 +355,93 @@
     CHECK_FALSE(canServe(*subject.snapshot(), {"b"}));
 }
 
+TEST_CASE_FIXTURE(directory_fixture,
+                  "knowledge for a peer, one server drains and one left, holds only the changes")
+{
+    subject.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 13), now);
+    for (const store_kind kind : AllStoreKinds) {
+        subject.advancePosition(kind, {0, 13});
+    }
+    directory_builder peer{{1'200ms}};
+    peer.integrate(subject.exportKnowledge(now), now);
+    subject.apply(store_kind::BackendServers, samples::object(report(9, true), 14), now);
+    subject.apply(store_kind::BackendServers, samples::deletedServer(2, 15), now);
+    subject.advancePosition(store_kind::BackendServers, {0, 15});
+    const exported_knowledge changes = subject.exportKnowledge(now, peer.positions());
+    CHECK_FALSE(changes.hasDesiredState);
+    CHECK(changes.servers.size() == 2);
+    peer.integrate(changes, now);
+    const auto availabilityAtPeer = [&](std::uint64_t key) {
+        return peer.snapshot()->byToken(tokenOf(server_key{key}))->availability;
+    };
+    CHECK(availabilityAtPeer(1) == server_availability::Draining);
+    CHECK(availabilityAtPeer(2) == server_availability::Departed);
+    CHECK(availabilityAtPeer(3) == server_availability::Usable);
+    CHECK(peer.positions() == subject.positions());
+    CHECK(peer.desiredVersion() == 5);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "knowledge for a peer, later list without changes, brings it to that position")
+{
+    for (const store_kind kind : AllStoreKinds) {
+        subject.advancePosition(kind, {0, 13});
+    }
+    directory_builder peer{{1'200ms}};
+    peer.integrate(subject.exportKnowledge(now), now);
+    for (const store_kind kind : AllStoreKinds) {
+        subject.advancePosition(kind, {0, 20});
+    }
+    CHECK(peer.integrate(subject.exportKnowledge(now, peer.positions()), now).empty());
+    CHECK(peer.positions() == subject.positions());
+    CHECK(peer.snapshot()->candidates("desk").size() == 2);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "knowledge for a peer, changes since its position forgotten, is complete")
+{
+    subject.apply(store_kind::BackendServers, samples::deletedServer(2, 15), now);
+    subject.advancePosition(store_kind::BackendServers, {0, 15});
+    subject.expire(now + 91s);
+    directory_builder peer{{1'200ms}};
+    peer.apply(store_kind::BackendServers, samples::object(samples::entry(2, "b"), 12), now);
+    peer.advancePosition(store_kind::BackendServers, {0, 13});
+    peer.integrate(subject.exportKnowledge(now + 91s, peer.positions()), now + 91s);
+    CHECK(peer.snapshot()->byToken(tokenOf(server_key{2}))->availability
+          == server_availability::Departed);
+    CHECK(peer.snapshot()->byToken(tokenOf(server_key{1}))->availability
+          == server_availability::Usable);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "knowledge for a peer of an earlier era, higher revision, is complete")
+{
+    listCopy({samples::entry(1, "a"), samples::entry(2, "b")});
+    directory_builder peer{{1'200ms}};
+    peer.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 39), now);
+    peer.advancePosition(store_kind::BackendServers, {0, 40});
+    peer.integrate(subject.exportKnowledge(now, peer.positions()), now);
+    peer.expire(now + 3s);
+    CHECK(peer.serverCount() == 3);
+    CHECK(peer.snapshot()->byToken(tokenOf(server_key{3}))->availability
+          == server_availability::Departed);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "changes since a position, receiver does not stand there, are not applied")
+{
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
+    directory_builder other{{1'200ms}};
+    other.integrate(subject.exportKnowledge(now), now);
+    subject.apply(store_kind::BackendServers, samples::object(samples::entry(3, "b"), 14), now);
+    subject.advancePosition(store_kind::BackendServers, {0, 14});
+    const exported_knowledge changes = subject.exportKnowledge(now, other.positions());
+    directory_builder behind{{1'200ms}};
+    behind.advancePosition(store_kind::BackendServers, {0, 5});
+    behind.integrate(changes, now);
+    CHECK(behind.positions()[1] == store_position{0, 5});
+}
+
 TEST_CASE_FIXTURE(directory_fixture,
                   "draining server, ready in an older copy of the store, stays draining")
 {
