Spread a large desired state over all instances that have it

Cause: all instances of a failure domain asked the first one that had it, by name. It began to send to all of them at once, none was finished within the 0.5 s of a pull, and each began anew. Class: one source for all, and work that is thrown away under load. Change: among equally good sources a random one is asked. While more than 128 KB of answers wait to be sent, an instance withholds the desired state from peers that already have one, so servers and evacuations still go out at once; the peer asks again after 100 ms, preferably another one that has it meanwhile. Tests: 'outdated instance, several equal sources*' fails on the code before (always asked the same one), 'source with a busy link*' and 'listener, caller does not read*' cover what is new.

--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -26,6 +26,11 @@
 // the peer follow.
 const std::string KnowledgePath = "/knowledge/";
 
+// Bytes of answers to peers that may wait to be sent. Above that, the desired state, which can be
+// hundreds of kilobytes long, is left to those peers that already have it. 100 ms on the slowest
+// link, of 10 Mbit/s.
+constexpr std::size_t MaxUnsentKnowledge = 128U << 10;
+
 // Interval for checking the settings file and reporting suppressed log lines.
 constexpr duration SlowTickInterval = 500ms;
 
@@ -215,12 +220,16 @@
     const auto since = path.starts_with(KnowledgePath)
                                ? decodePositions(path.substr(KnowledgePath.size()))
                                : std::nullopt;
-    const auto knowledge =
+    auto knowledge =
             since ? m_instanceControl.exportKnowledge(std::chrono::steady_clock::now(), *since)
                   : std::nullopt;
     if (!knowledge) {
         return {404, "text/plain", "no such page\n"};
     }
+    const bool isStarting = *since == known_positions{};
+    if (!isStarting && m_peerListener.unsentBytes() > MaxUnsentKnowledge) {
+        knowledge->withholdDesiredState();
+    }
     return {200, "application/octet-stream", encodeKnowledge(*knowledge)};
 }
 
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -23,6 +23,10 @@
 // domains, so two are enough to learn of new instances soon.
 constexpr std::size_t MaxPeersListedFar = 2;
 
+// Time between two pulls if the source has withheld a part, as its link is busy. It can send a
+// desired state of 100 KB to one instance in this time.
+constexpr duration PullPause = 100ms;
+
 // Time after the start during which a running pull of the first knowledge delays store calls. The
 // peer has just announced its knowledge, so it needs only a few round trips.
 constexpr duration FirstPullTime = 150ms;
@@ -150,7 +154,7 @@
 
 void instance_control::pullKnowledge(time_point now)
 {
-    if (m_port.isPulling()) {
+    if (m_port.isPulling() || now < m_nextPull) {
         return;
     }
     const auto source = m_peers.findPeerWithNewerPosition(m_knowledge.positions(), now);
@@ -198,6 +202,11 @@
     }
     m_hasEarlierKnowledge = m_hasEarlierKnowledge || m_peers.startedEarlier(from);
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
+    if (m_peers.isAhead(from, m_knowledge.positions())) {
+        // It has withheld a part, or has learned more since.
+        m_peers.onPullFailed(from, now);
+        m_nextPull = now + PullPause;
+    }
     m_log.write({log_level::Info,
                  "knowledge_pulled",
                  {{"from", from.toString()},
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -132,6 +132,7 @@
     std::set<std::string> m_silentDomains;
     bool m_canServe = true; ///< A usable backend server is in reach, or no domain is silent.
     std::optional<time_point> m_behindSince; ///< Set while a peer has newer knowledge.
+    time_point m_nextPull; ///< Earliest time of the next pull.
     /** An instance that ran before this one has handed over its knowledge. */
     bool m_hasEarlierKnowledge = false;
     time_point m_startedAt;
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -197,27 +197,45 @@
 }
 
 std::optional<endpoint> peer_directory::findPeerWithNewerPosition(const known_positions &own,
-                                                                  time_point now) const
+                                                                  time_point now)
 {
-    const peer_record *best = nullptr;
+    std::vector<endpoint> candidates;
     std::pair<bool, bool> bestRank;
     for (const auto &[name, peer] : m_peers) {
-        if (!isLive(peer, now)) {
+        const duration sinceFailure =
+                peer.pullFailedAt ? now - *peer.pullFailedAt : duration::max();
+        if (!isLive(peer, now) || !isAhead(peer, own)) {
             continue;
         }
-        bool knowsMore = false;
-        for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
-            knowsMore = knowsMore || peer.positions[kind] > own[kind];
-        }
-        const bool hasJustFailed =
-                peer.pullFailedAt && now - *peer.pullFailedAt < FailedPullAvoidance;
-        const std::pair rank(!hasJustFailed, peer.entry.failureDomain == m_self.failureDomain);
-        if (knowsMore && (!best || rank > bestRank)) {
-            best = &peer;
+        const std::pair rank(sinceFailure >= FailedPullAvoidance,
+                             peer.entry.failureDomain == m_self.failureDomain);
+        if (candidates.empty() || rank > bestRank) {
+            candidates.clear();
             bestRank = rank;
         }
+        if (rank == bestRank) {
+            candidates.push_back(peer.entry.address);
+        }
+    }
+    return candidates.empty() ? std::nullopt
+                              : std::optional(candidates[m_random.below(candidates.size())]);
+}
+
+bool peer_directory::isAhead(const peer_record &peer, const known_positions &own)
+{
+    for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
+        if (peer.positions[kind] > own[kind]) {
+            return true;
+        }
     }
-    return best ? std::optional(best->entry.address) : std::nullopt;
+    return false;
+}
+
+bool peer_directory::isAhead(const endpoint &address, const known_positions &own) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
+        return item.second.entry.address == address && isAhead(item.second, own);
+    });
 }
 
 bool peer_directory::startedEarlier(const peer_record &peer) const
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -67,10 +67,12 @@
 
     /**
      * Returns the address of a live instance with a newer position of some kind: preferably one
-     * that has not just failed to hand over its knowledge, then one in the own failure domain.
+     * that has not just failed to hand over its knowledge, then one in the own failure domain, and
+     * among these a random one.
      */
-    std::optional<endpoint> findPeerWithNewerPosition(const known_positions &own,
-                                                      time_point now) const;
+    std::optional<endpoint> findPeerWithNewerPosition(const known_positions &own, time_point now);
+    /** Returns whether the instance at `address` has announced a newer position of some kind. */
+    bool isAhead(const endpoint &address, const known_positions &own) const;
 
     /**
      * Returns the address of a random live instance that started well before this one and whose
@@ -100,6 +102,7 @@
 private:
     bool isLive(const peer_record &peer, time_point now) const;
     bool startedEarlier(const peer_record &peer) const;
+    static bool isAhead(const peer_record &peer, const known_positions &own);
     void addReportedPeer(const peer_entry &entry, time_point now);
 
     peer_entry m_self;
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -49,6 +49,15 @@
     /** Entries of an older copy of the store that take effect when their grace period ends. */
     std::vector<exported_object> outdatedServers;
 
+    /** Leaves out the desired state; the receiver then knows that it does not have it. */
+    void withholdDesiredState()
+    {
+        constexpr auto Index = static_cast<std::size_t>(store_kind::DesiredState);
+        since[Index] = positions[Index];
+        hasDesiredState = false;
+        desiredState = {};
+    }
+
     template <class Archive>
     void serialize(Archive &archive)
     {
--- a/packages/io/http_listener.cpp
+++ b/packages/io/http_listener.cpp
@@ -70,6 +70,15 @@
     m_acceptor.close();
 }
 
+std::size_t http_listener::unsentBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, open] : m_connections) {
+        bytes += open->m_stream.isOpen() ? open->m_stream.unsentBytes() : 0;
+    }
+    return bytes;
+}
+
 int http_listener::handle_input(ACE_HANDLE)
 {
     removeClosed();
--- a/packages/io/http_listener.h
+++ b/packages/io/http_listener.h
@@ -37,6 +37,9 @@
     status open(const endpoint &local);
     void close();
 
+    /** Number of bytes of answers that wait until their receivers have read enough. */
+    std::size_t unsentBytes() const;
+
     ACE_HANDLE get_handle() const override { return m_acceptor.get_handle(); }
     int handle_input(ACE_HANDLE handle) override;
 
--- a/packages/io/tcp_stream.h
+++ b/packages/io/tcp_stream.h
@@ -45,6 +45,9 @@
     /** Sends the bytes, now or when the peer has read enough. */
     void send(const std::string &bytes);
 
+    /** Number of bytes that wait until the peer has read enough. */
+    std::size_t unsentBytes() const { return m_unsent.size(); }
+
     /** Closes the connection without a call to the listener. */
     void close();
     bool isOpen() const { return m_stream.get_handle() != ACE_INVALID_HANDLE; }
--- a/tests/forwarding/process/instance_control_test.cpp
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -133,6 +133,29 @@
     CHECK(port.pulledSince == samples::positions(8, 2));
 }
 
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "source with a busy link, withholds the desired state, is asked again for it")
+{
+    hearPeer(10'000);
+    answerPull();
+    now += 1s;
+    hearPeer(10'000, 9);
+    subject.tick(now + 600ms);
+    REQUIRE(port.pulls.size() == 2);
+    exported_knowledge busy = peerKnowledge();
+    busy.positions = samples::positions(9, 2);
+    busy.desiredState.version = 8;
+    busy.withholdDesiredState();
+    ++port.answeredPulls;
+    subject.onKnowledge(peer, busy, now + 610ms);
+    CHECK(port.published->routes().version == 7);
+    CHECK(subject.knowledge().positions()[1] == store_position{2, 9});
+    subject.tick(now + 700ms);
+    CHECK(port.pulls.size() == 2);
+    subject.tick(now + 720ms);
+    CHECK(port.pulls.size() == 3);
+}
+
 TEST_CASE("positions of a peer, encoded and decoded, are the same")
 {
     known_positions positions = samples::positions(8, 2);
--- a/tests/forwarding/process/peer_directory_test.cpp
+++ b/tests/forwarding/process/peer_directory_test.cpp
@@ -160,6 +160,20 @@
     CHECK(subject.findPeerWithNewerPosition(positions["one"], now)->address.toV4() == 0x0a010003);
 }
 
+TEST_CASE_FIXTURE(peers_fixture, "outdated instance, several equal sources, does not ask one only")
+{
+    positions["two"][1].revision = 9;
+    positions["three"][1].revision = 9;
+    advance(500ms);
+    std::set<std::uint32_t> asked;
+    for (int pull = 0; pull < 20; ++pull) {
+        const auto source = instances.at("one").findPeerWithNewerPosition(positions["one"], now);
+        REQUIRE(source);
+        asked.insert(source->address.toV4());
+    }
+    CHECK(asked == std::set<std::uint32_t>{0x0a010002, 0x0a010003});
+}
+
 TEST_CASE_FIXTURE(peers_fixture,
                   "instance of an earlier era, at a higher revision, is not used as a source")
 {
--- a/tests/io/http_listener_test.cpp
+++ b/tests/io/http_listener_test.cpp
@@ -16,13 +16,17 @@
 // Instances of a failure domain at the size of the capacity plan: 480 in five domains.
 constexpr std::size_t DomainInstances = 96;
 
+// More than the socket buffers of both ends hold.
+constexpr std::size_t LongPage = 32U << 20;
+
 const endpoint Local{ip_address::fromV4(0x7f000001), 29'471};
 
 struct listener_fixture
 {
     reactor_thread thread;
-    http_listener subject{thread.loop(), [](const std::string &) {
-                              return http_page{};
+    http_listener subject{thread.loop(), [](const std::string &path) {
+                              return http_page{200, "text/plain",
+                                               std::string(path == "/long" ? LongPage : 0, 'x')};
                           }};
     std::vector<ACE_SOCK_Stream> callers;
 
@@ -79,4 +83,19 @@
     CHECK(countAnswered() == callers.size());
 }
 
+TEST_CASE_FIXTURE(listener_fixture, "listener, caller does not read, counts what is unsent")
+{
+    thread.start();
+    connect(1);
+    REQUIRE(callers.size() == 1);
+    const std::string request = "GET /long HTTP/1.1\r\nHost: here\r\n\r\n";
+    callers[0].send_n(request.data(), request.size());
+    std::array<char, 16> start{};
+    const ACE_Time_Value limit(5);
+    REQUIRE(callers[0].recv_n(start.data(), start.size(), &limit) > 0);
+    thread.stop();
+    CHECK(subject.unsentBytes() > 0);
+    CHECK(subject.unsentBytes() < LongPage);
+}
+
 } // namespace ebonyway
