Count a source as busy only if it has withheld a part

Also: an answer without a desired state no longer brings the receiver to the sender's position unless the sender tells that nothing changed; no sender does this today.

--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -27,8 +27,8 @@
 const std::string KnowledgePath = "/knowledge/";
 
 // Bytes of answers to peers that may wait to be sent. Above that, the desired state, which can be
-// hundreds of kilobytes long, is left to those peers that already have it. 100 ms on the slowest
-// link, of 10 Mbit/s.
+// hundreds of kilobytes long, is withheld until the link is free; peers that have it can send it
+// meanwhile. It takes 100 ms on the slowest link, of 10 Mbit/s.
 constexpr std::size_t MaxUnsentKnowledge = 128U << 10;
 
 // Interval for checking the settings file and reporting suppressed log lines.
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -202,8 +202,8 @@
     }
     m_hasEarlierKnowledge = m_hasEarlierKnowledge || m_peers.startedEarlier(from);
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
-    if (m_peers.isAhead(from, m_knowledge.positions())) {
-        // It has withheld a part, or has learned more since.
+    if (isAhead(valueOf(outcome).positions, m_knowledge.positions())) {
+        // The source has withheld a part.
         m_peers.onPullFailed(from, now);
         m_nextPull = now + PullPause;
     }
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -204,7 +204,7 @@
     for (const auto &[name, peer] : m_peers) {
         const duration sinceFailure =
                 peer.pullFailedAt ? now - *peer.pullFailedAt : duration::max();
-        if (!isLive(peer, now) || !isAhead(peer, own)) {
+        if (!isLive(peer, now) || !isAhead(peer.positions, own)) {
             continue;
         }
         const std::pair rank(sinceFailure >= FailedPullAvoidance,
@@ -221,23 +221,6 @@
                               : std::optional(candidates[m_random.below(candidates.size())]);
 }
 
-bool peer_directory::isAhead(const peer_record &peer, const known_positions &own)
-{
-    for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
-        if (peer.positions[kind] > own[kind]) {
-            return true;
-        }
-    }
-    return false;
-}
-
-bool peer_directory::isAhead(const endpoint &address, const known_positions &own) const
-{
-    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &item) {
-        return item.second.entry.address == address && isAhead(item.second, own);
-    });
-}
-
 bool peer_directory::startedEarlier(const peer_record &peer) const
 {
     return peer.heardDirectly
@@ -261,11 +244,7 @@
         if (!isLive(peer, now) || !startedEarlier(peer) || hasJustFailed) {
             continue;
         }
-        bool isBehind = false;
-        for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
-            isBehind = isBehind || peer.positions[kind] < own[kind];
-        }
-        if (isBehind) {
+        if (isAhead(own, peer.positions)) {
             continue;
         }
         const bool isNear = peer.entry.failureDomain == m_self.failureDomain;
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -71,8 +71,6 @@
      * among these a random one.
      */
     std::optional<endpoint> findPeerWithNewerPosition(const known_positions &own, time_point now);
-    /** Returns whether the instance at `address` has announced a newer position of some kind. */
-    bool isAhead(const endpoint &address, const known_positions &own) const;
 
     /**
      * Returns the address of a random live instance that started well before this one and whose
@@ -102,7 +100,6 @@
 private:
     bool isLive(const peer_record &peer, time_point now) const;
     bool startedEarlier(const peer_record &peer) const;
-    static bool isAhead(const peer_record &peer, const known_positions &own);
     void addReportedPeer(const peer_entry &entry, time_point now);
 
     peer_entry m_self;
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -371,11 +371,14 @@
     for (const exported_object &item : exported.evacuations) {
         evacuations.push_back(objectOf(item.name, item.position, evacuation{item.name}));
     }
-    std::vector<store_object> states;
+    const bool isStateKnown =
+            exported.since[static_cast<std::size_t>(store_kind::DesiredState)] != store_position{};
     if (exported.hasDesiredState) {
-        states.push_back(objectOf("", exported.desiredPosition, exported.desiredState));
+        merge(store_kind::DesiredState,
+              {objectOf("", exported.desiredPosition, exported.desiredState)});
+    } else if (isStateKnown) {
+        merge(store_kind::DesiredState, {});
     }
-    merge(store_kind::DesiredState, states);
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
     takeOverLapses(exported, now);
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -14,6 +14,17 @@
 /** Per kind, the store position up to which an instance has applied all changes. */
 using known_positions = std::array<store_position, StoreKindCount>;
 
+/** Returns whether the position of some kind is newer than the other one. */
+inline bool isAhead(const known_positions &positions, const known_positions &other)
+{
+    for (std::size_t kind = 0; kind < StoreKindCount; ++kind) {
+        if (positions[kind] > other[kind]) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** A store object as sent to another instance. */
 struct exported_object
 {
