--- a/packages/connection/service_lookup.h
+++ b/packages/connection/service_lookup.h
@@ -27,7 +27,9 @@
         const entry wanted = entryFor(key.service, key.servicePort, key.protocol);
         for (std::size_t index = positionOf(wanted);; index = (index + 1) & m_mask) {
             const entry &candidate = m_entries[index];
-            if (candidate.transport == wanted.transport && candidate.address == wanted.address) {
+            // Comparing the arrays as a whole calls memcmp() on some processors.
+            if (candidate.transport == wanted.transport && candidate.address[0] == wanted.address[0]
+                && candidate.address[1] == wanted.address[1]) {
                 return candidate.service;
             }
             if (candidate.transport == 0) {
