Forwarding: keep a flow token with the server that started first

Ruled out: the flow tables; instances without an entry for the flow sent its packets there too.

Change: a token belongs to the server that started first. Each server has a second token from another hash, and new flows of servers that share the first token get the second one, so both serve. Open flows keep the token that they carry. The forwarder looks servers up by key instead of by the token of the key. An instance that starts learns from its peers of departed servers that share a token.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -64,7 +64,7 @@
 {
     if (m_directory) {
         for (const directory_server &server : newDirectory->servers()) {
-            const directory_server *before = m_directory->byToken(server.token);
+            const directory_server *before = m_directory->byKey(server.entry.key);
             if (before && before->entry.startedAt != server.entry.startedAt) {
                 // The server has restarted under the same id, so earlier observations are void.
                 m_evidence.forget(server.entry.key);
@@ -149,7 +149,7 @@
         reuse(*record, now);
     }
     if (record && record->state == flow_table_entry::phase::Open) {
-        const directory_server *server = m_directory->byToken(tokenOf(record->server));
+        const directory_server *server = m_directory->byKey(record->server);
         if (server) {
             return forward_packet{server->entry.key, server->entry.address, server->token};
         }
@@ -158,7 +158,7 @@
         if (!isCopy || now - record->offeredAt < OfferTimeout) {
             // The network duplicated the packet, or this instance was stalled and forwarded the
             // previous copy only moments ago.
-            const directory_server *server = m_directory->byToken(tokenOf(record->server));
+            const directory_server *server = m_directory->byKey(record->server);
             if (server) {
                 return forward_packet{server->entry.key, server->entry.address, server->token};
             }
@@ -190,7 +190,7 @@
     if (offeredBefore) {
         // No other server is left. The last one may not have received the packet, so offer it
         // again.
-        const directory_server *server = m_directory->byToken(tokenOf(record->server));
+        const directory_server *server = m_directory->byKey(record->server);
         if (server && server->acceptsNewFlows()) {
             const placement_choice again{server, placement_tier::SetAside, 0.0, 0};
             return place(packet.flow, *service, again, packet.acknowledged, record, now);
@@ -302,7 +302,8 @@
     if (shouldResetFlow(packet, *server, now)) {
         return refuse(packet, forwarding_refusal::BackendServerDead, true);
     }
-    return forward_packet{server->entry.key, server->entry.address, server->token};
+    // The flow keeps its token, also if new flows of the server get another one by now.
+    return forward_packet{server->entry.key, server->entry.address, packet.token};
 }
 
 bool forwarder::shouldResetFlow(const flow_packet &packet, const directory_server &server,
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -262,7 +262,7 @@
     }
 }
 
-void instance_control::logAndPublish(const std::vector<directory_change> &changes, time_point now)
+void instance_control::logChanges(const std::vector<directory_change> &changes)
 {
     for (const directory_change &change : changes) {
         m_log.write({log_level::Info,
@@ -271,6 +271,11 @@
                       {"revision", change.revision},
                       {"detail", change.detail}}});
     }
+}
+
+void instance_control::logAndPublish(const std::vector<directory_change> &changes, time_point now)
+{
+    logChanges(changes);
     if (changes.empty() && (m_snapshot || !m_knowledge.isComplete())) {
         return;
     }
@@ -285,6 +290,7 @@
     }
     const bool isFirst = !m_snapshot;
     m_snapshot = m_knowledge.snapshot();
+    logChanges(m_knowledge.takeTokenChanges());
     m_port.publish(m_snapshot);
     checkReachability(now);
     if (isFirst) {
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -114,6 +114,7 @@
     void pullKnowledge(time_point now);
     void pullNewerKnowledge(const endpoint &source, time_point now);
     void logStoreEvents();
+    void logChanges(const std::vector<directory_change> &changes);
     void logAndPublish(const std::vector<directory_change> &changes, time_point now);
     void publishKnowledge(time_point now);
     void checkReachability(time_point now);
--- a/packages/forwarding/version/directory.h
+++ b/packages/forwarding/version/directory.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "forwarding/version/store_objects.h"
 
+#include <array>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -22,10 +23,10 @@
 {
     registered_server entry;
     store_position position; ///< Of the last change of the entry.
-    flow_token token;
+    flow_token token; ///< Written into new flows; one of tokensOf() its key.
     server_availability availability = server_availability::Usable;
     bool evacuated = false;
-    bool ambiguousToken = false; ///< A server with a lower key has the same token and owns it.
+    bool ambiguousToken = false; ///< All its tokens belong to servers that started earlier.
     time_point coldUntil;
 
     bool acceptsNewFlows() const
@@ -60,8 +61,13 @@
     const route_table &routes() const { return *m_routes; }
     const std::vector<directory_server> &servers() const { return m_servers; }
 
-    /** Returns the backend server that owns the token, or null if there is none. */
+    /**
+     * Returns the backend server that the token belongs to, or null if there is none. Of several
+     * servers it belongs to the one that started first, so that open flows stay where they are.
+     */
     const directory_server *byToken(flow_token token) const;
+    /** Returns the backend server with the key, or null if there is none. */
+    const directory_server *byKey(server_key key) const;
     /** Returns the indexes in servers() of the service's servers that accept new flows. */
     const std::vector<std::size_t> &candidates(const std::string &service) const;
 
@@ -69,7 +75,8 @@
     std::uint64_t m_serial = 0;
     std::shared_ptr<const route_table> m_routes;
     std::vector<directory_server> m_servers;
-    std::unordered_map<flow_token, std::size_t> m_byToken;
+    std::unordered_map<flow_token, std::size_t> m_byToken; ///< Both tokens of each server.
+    std::unordered_map<server_key, std::size_t> m_byKey;
     std::unordered_map<std::string, std::vector<std::size_t>> m_candidates;
 };
 
@@ -81,5 +88,13 @@
 
 /** Returns the flow token of a backend server, a hash of its key that is never zero. */
 flow_token tokenOf(server_key key);
+/**
+ * Returns all tokens of a backend server in the order of preference: tokenOf(), and a second one
+ * from another hash for the case that another server has the same first one.
+ */
+std::array<flow_token, 2> tokensOf(server_key key);
+
+/** Returns whether a token that both servers have belongs to the first of them. */
+bool precedes(const registered_server &first, const registered_server &second);
 
 } // namespace ebonyway
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/version/directory_builder.h"
 
+#include "forwarding/version/token_claims.h"
+
 #include <algorithm>
 #include <chrono>
 #include <iterator>
@@ -139,7 +141,9 @@
                                    time_point now)
 {
     known.server.entry = entry;
-    known.server.token = tokenOf(entry.key);
+    if (known.server.token == flow_token{}) {
+        known.server.token = tokenOf(entry.key);
+    }
     known.server.availability =
             entry.draining ? server_availability::Draining : server_availability::Usable;
     known.server.coldUntil = now + entry.coldRemaining;
@@ -381,11 +385,34 @@
     }
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
+    std::ranges::move(takeOverDepartures(exported, now), std::back_inserter(changes));
     takeOverLapses(exported, now);
     takeOverOutdatedEntries(exported, now);
     return changes;
 }
 
+std::vector<directory_change>
+directory_builder::takeOverDepartures(const exported_knowledge &exported, time_point now)
+{
+    std::vector<directory_change> changes;
+    if (exported.since[static_cast<std::size_t>(store_kind::BackendServers)] != store_position{}) {
+        return changes;
+    }
+    for (const exported_object &item : exported.servers) {
+        if (!item.departed || m_servers.contains(item.name)) {
+            continue;
+        }
+        known_server &known = m_servers[item.name];
+        adoptEntry(known, item.server, now);
+        known.server.position = item.position;
+        known.server.availability = server_availability::Departed;
+        known.departedAt = now;
+        changes.push_back({"backend_server_departed", item.name, item.position.revision,
+                           "it departed before this instance started"});
+    }
+    return changes;
+}
+
 void directory_builder::takeOverLapses(const exported_knowledge &exported, time_point now)
 {
     for (const exported_object &item : exported.servers) {
@@ -476,7 +503,8 @@
             outdated.graceRemaining = remaining(known.outdatedUntil);
             exported.outdatedServers.push_back(std::move(outdated));
         }
-        if (sendsAllServers ? item.departed : known.server.position <= sinceServers) {
+        const bool isForgotten = item.departed && !known.sharesToken;
+        if (sendsAllServers ? isForgotten : known.server.position <= sinceServers) {
             continue;
         }
         item.server.coldRemaining = std::chrono::ceil<std::chrono::milliseconds>(
@@ -533,24 +561,46 @@
     return changes;
 }
 
+void directory_builder::chooseTokens()
+{
+    token_claims claims;
+    for (const auto &[name, known] : m_servers) {
+        claims.add(known.server.entry);
+    }
+    for (auto &[name, known] : m_servers) {
+        directory_server &server = known.server;
+        const auto token = claims.choose(server.entry, server.token);
+        const bool isChange =
+                server.ambiguousToken == token.has_value() || (token && *token != server.token);
+        server.ambiguousToken = !token;
+        server.token = token.value_or(server.token);
+        known.sharesToken = claims.isShared(tokenOf(server.entry.key));
+        if (isChange) {
+            m_tokenChanges.push_back(
+                    {"backend_server_token_shared", name, server.position.revision,
+                     token ? "another server has the same token; new flows get the second one"
+                           : "other servers have the same tokens; it gets no new flows"});
+        }
+    }
+}
+
 std::shared_ptr<const directory> directory_builder::snapshot()
 {
+    chooseTokens();
     std::vector<directory_server> servers;
     servers.reserve(m_servers.size());
-    std::map<flow_token, server_key> owners;
-    for (const auto &[name, known] : m_servers) {
-        const auto owner = owners.emplace(known.server.token, known.server.entry.key).first;
-        // All instances must map a token to the same server, so the lowest key wins.
-        owner->second = std::min(owner->second, known.server.entry.key);
-    }
     for (const auto &[name, known] : m_servers) {
         directory_server server = known.server;
         server.evacuated = m_evacuations.contains(server.entry.failureDomain);
-        server.ambiguousToken = owners[server.token] != server.entry.key;
         servers.push_back(std::move(server));
     }
     return std::make_shared<directory>(
             ++m_serial, m_routes ? m_routes : std::make_shared<route_table>(), std::move(servers));
 }
 
+std::vector<directory_change> directory_builder::takeTokenChanges()
+{
+    return std::exchange(m_tokenChanges, {});
+}
+
 } // namespace ebonyway
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -81,6 +81,8 @@
 
     /** Builds an immutable snapshot of the current knowledge. */
     std::shared_ptr<const directory> snapshot();
+    /** Returns and clears which backend servers got another token in the snapshots so far. */
+    std::vector<directory_change> takeTokenChanges();
 
     std::uint64_t desiredVersion() const { return m_routes ? m_routes->version : 0; }
     std::size_t serverCount() const { return m_servers.size(); }
@@ -94,6 +96,7 @@
         /** Entry that an older copy of the store holds, while it contradicts what is known. */
         std::optional<registered_server> outdatedEntry;
         time_point outdatedUntil; ///< If still in the store then, `outdatedEntry` is in effect.
+        bool sharesToken = false; ///< In the last snapshot, another server had its first token.
     };
 
     struct known_evacuation
@@ -120,11 +123,17 @@
                                                           time_point now);
     directory_change endEvacuation(const std::string &domain, store_position position,
                                    time_point now);
+    /** Adds departed servers that share a token with a server, so that no other gets their flows.
+     */
+    std::vector<directory_change> takeOverDepartures(const exported_knowledge &exported,
+                                                     time_point now);
     /** Marks as lapsed here too what has lapsed at the instance that sent its knowledge. */
     void takeOverLapses(const exported_knowledge &exported, time_point now);
     void takeOverOutdatedEntries(const exported_knowledge &exported, time_point now);
     void markColdAfterEvacuation(const std::string &failureDomain, time_point now);
     duration coldDurationOf(const std::string &service) const;
+    /** Gives each server a token for new flows that no other server has. */
+    void chooseTokens();
 
     directory_times m_times;
     std::uint64_t m_serial = 0;
@@ -136,6 +145,7 @@
     std::map<std::string, store_position> m_endedEvacuations; ///< By failure domain.
     std::optional<time_point> m_lapseGraceUntil; ///< End of the grace period after an outage.
     known_positions m_positions{};
+    std::vector<directory_change> m_tokenChanges;
     store_position m_forgottenUpTo; ///< Departures up to it may have been removed.
 };
 
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -163,6 +163,35 @@
 
 } // namespace
 
+// A server with the token of another one once got the packets of that one's open flows.
+TEST_CASE_FIXTURE(forwarder_fixture, "open flow, server with the same token starts, stays")
+{
+    const auto twins = samples::keysWithSameToken();
+    for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
+        removeServer(key);
+    }
+    registered_server earlier = samples::entry(twins.second, "a");
+    registered_server later = samples::entry(twins.first, "a");
+    later.startedAt = earlier.startedAt + 1s;
+    applyObject(earlier);
+    publish();
+    const auto [first, token] = openFlow();
+    applyObject(later);
+    publish();
+    const auto decision = subject.decide(laterPacket(first, token, 1, 100, 1), now);
+    CHECK(serverOf(decision) == earlier.key);
+    CHECK(std::get<forward_packet>(decision).token == token);
+
+    std::set<server_key> used;
+    for (int i = 0; i < 40; ++i) {
+        const auto [opened, ownToken] = openFlow();
+        const auto next = subject.decide(laterPacket(opened, ownToken, 1, 100, 1), now);
+        REQUIRE(serverOf(next) == observer.placements.back().server);
+        used.insert(serverOf(next));
+    }
+    CHECK(used.size() == 2);
+}
+
 TEST_CASE_FIXTURE(forwarder_fixture,
                   "open flow, packet at another instance, goes to the server of its token")
 {
--- a/tests/forwarding/directory_samples.h
+++ b/tests/forwarding/directory_samples.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "core/seeded_random.h"
 #include "forwarding/version/directory_builder.h"
 
+#include <algorithm>
 #include <chrono>
+#include <map>
 #include <string>
+#include <utility>
 
 namespace ebonyway {
 
@@ -49,6 +53,21 @@
     return server;
 }
 
+/** Returns two keys with the same first token, the lower one first. */
+inline std::pair<std::uint64_t, std::uint64_t> keysWithSameToken()
+{
+    std::map<flow_token, std::uint64_t> seen;
+    seeded_random random(1);
+    // The token is a 32-bit hash, so a collision is expected after some 80,000 random keys.
+    for (;;) {
+        const std::uint64_t key = random.next();
+        const auto [found, isNew] = seen.emplace(tokenOf(server_key{key}), key);
+        if (!isNew && found->second != key) {
+            return std::minmax(found->second, key);
+        }
+    }
+}
+
 inline store_object object(const registered_server &server, std::uint64_t revision)
 {
     return {serverName(server.key.value), revision, false, store_value(server), {}};
