Forwarding: order the evidence of cold servers by store positions

Cause: kinds are watched apart, and a report of a server from before the end of its zone's evacuation (revision 32) arrived after that end (revision 33). adoptEntry replaced the expected cold time by what the report said. Ruled out: a late end of the evacuation (learned after 0.06 s) and the budget for cold servers (the offers have the tier warm).

Change: server_coldness owns how long a server is cold and orders reports, ends of evacuations and estimates of peers by their positions, so that no order of arrival makes a server warmer. Ends of evacuations whose start was missed, and servers first seen after the end, count too. In the emulator, servers become cold as an evacuation ends and report it later.

--- a/packages/emulator/emulated_server.h
+++ b/packages/emulator/emulated_server.h
@@ -56,6 +56,7 @@
     }
     void setWorkFactor(std::uint32_t factor) { m_workFactor = factor; }
     void setColdUntil(time_point until) { m_coldUntil = until; }
+    time_point coldUntil() const { return m_coldUntil; }
     bool isCold(time_point now) const { return now < m_coldUntil; }
 
     bool holds(const flow_id &flow) const { return m_flows.contains(flow); }
--- a/packages/emulator/emulation.cpp
+++ b/packages/emulator/emulation.cpp
@@ -116,10 +116,10 @@
     entry.failureDomain = failureDomain;
     entry.slots = service.slots;
     entry.startedAt = std::chrono::milliseconds(number);
-    const auto [added, isNew] = m_servers.emplace(entry.key, emulated_server(entry, service.work));
+    m_servers.emplace(entry.key, emulated_server(entry, service.work));
     if (cold) {
+        makeCold(entry.key);
         entry.coldRemaining = service.coldTime;
-        added->second.setColdUntil(m_queue.now() + service.coldTime);
     }
     m_serverAt[entry.address] = entry.key;
     m_store.put(store_kind::BackendServers, storeName(entry.key), entry);
--- a/packages/emulator/emulation.h
+++ b/packages/emulator/emulation.h
@@ -83,6 +83,9 @@
     void crashServer(server_key key, server_mood mood);
     void reviveServer(server_key key);
     void drainServer(server_key key);
+    /** The server becomes cold, and reports it from its next regular report on. */
+    void makeCold(server_key key);
+    void reportCold(server_key key, std::uint64_t life);
     std::vector<std::uint64_t> pickInstances(std::uint32_t count);
     std::vector<server_key> pickServers(const scenario_event &event);
     const scenario_service &serviceOf(server_key key) const;
--- a/packages/emulator/emulation_events.cpp
+++ b/packages/emulator/emulation_events.cpp
@@ -15,6 +15,8 @@
 // Times of the platform's protocol.
 constexpr duration LapseTime = 3'600ms; // Three heartbeats of 1.2 s.
 constexpr duration RestartTime = 600ms; // Until the platform starts a process again.
+constexpr duration ServerReportInterval = 1'200ms;
+constexpr std::uint64_t ReportPhases = 12; // Servers report at as many times of an interval.
 constexpr duration DrainTime = 3s; // A server serves on after it has announced its end.
 constexpr duration AddressReuse = 2s;
 constexpr duration RewriteDelay = 1s; // Until what an older copy of the store lacks is back.
@@ -195,11 +197,37 @@
     registered_server &entry = server.entry();
     entry.startedAt += std::chrono::milliseconds(1);
     entry.reportCount = 0;
+    makeCold(key);
     entry.coldRemaining = serviceOf(key).coldTime;
-    server.setColdUntil(m_queue.now() + entry.coldRemaining);
     m_store.put(store_kind::BackendServers, storeName(key), entry);
 }
 
+void emulation::makeCold(server_key key)
+{
+    emulated_server &server = m_servers.at(key);
+    server.setColdUntil(m_queue.now() + serviceOf(key).coldTime);
+    // Each server has its own phase, so that the reports of a domain are spread.
+    const duration untilReport =
+            ServerReportInterval * (key.value % ReportPhases + 1) / ReportPhases;
+    m_queue.after(untilReport, [this, key, life = server.life()] { reportCold(key, life); });
+}
+
+void emulation::reportCold(server_key key, std::uint64_t life)
+{
+    emulated_server &server = m_servers.at(key);
+    registered_server &entry = server.entry();
+    if (server.life() != life || server.mood() != server_mood::Serving) {
+        return;
+    }
+    const duration remaining = std::max(duration::zero(), server.coldUntil() - m_queue.now());
+    entry.coldRemaining = std::chrono::ceil<std::chrono::milliseconds>(remaining);
+    ++entry.reportCount;
+    m_store.put(store_kind::BackendServers, storeName(key), entry);
+    if (remaining > duration::zero()) {
+        m_queue.after(ServerReportInterval, [this, key, life] { reportCold(key, life); });
+    }
+}
+
 void emulation::drainServer(server_key key)
 {
     emulated_server &server = m_servers.at(key);
@@ -304,6 +332,12 @@
         m_store.put(store_kind::Evacuations, domain, evacuation{domain});
         m_monitor.noteEvacuation(domain, true);
         m_queue.at(end, [this, domain] {
+            for (const auto &[key, server] : m_servers) {
+                if (server.mood() == server_mood::Serving
+                    && server.entry().failureDomain == domain) {
+                    makeCold(key);
+                }
+            }
             m_store.remove(store_kind::Evacuations, domain);
             m_monitor.noteEvacuation(domain, false);
         });
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -66,7 +66,7 @@
     const auto *entry = object.value ? std::get_if<registered_server>(&*object.value) : nullptr;
     if (found != m_servers.end() && object.position() <= found->second.server.position) {
         const bool isSameChange = entry && object.position() == found->second.server.position;
-        return isSameChange ? applyLostReport(object, found->second, *entry, now)
+        return isSameChange ? applySameChange(object, found->second, *entry, now)
                             : std::vector<directory_change>{};
     }
     if (!entry) {
@@ -103,6 +103,25 @@
     return {{"backend_server_updated", object.name, object.revision, describeServer(*entry)}};
 }
 
+std::vector<directory_change> directory_builder::applySameChange(const store_object &object,
+                                                                 known_server &known,
+                                                                 const registered_server &entry,
+                                                                 time_point now)
+{
+    auto changes = applyLostReport(object, known, entry, now);
+    if (!changes.empty() || known.departedAt || entry.startedAt != known.server.entry.startedAt) {
+        return changes;
+    }
+    const time_point coldUntil = known.server.coldUntil;
+    known.coldness.onPeerEstimate(entry.coldRemaining, now);
+    known.server.coldUntil = known.coldness.until();
+    if (known.server.coldUntil > std::max(coldUntil, now)) {
+        changes.push_back({"backend_server_updated", object.name, object.revision,
+                           describeServer(entry) + ", according to a peer"});
+    }
+    return changes;
+}
+
 std::vector<directory_change> directory_builder::applyLostReport(const store_object &object,
                                                                  known_server &known,
                                                                  const registered_server &entry,
@@ -146,7 +165,8 @@
     }
     known.server.availability =
             entry.draining ? server_availability::Draining : server_availability::Usable;
-    known.server.coldUntil = now + entry.coldRemaining;
+    known.coldness.onReport(known.server.position, entry.coldRemaining, now);
+    expectColdAfterEvacuation(known);
     known.lapsesAt.reset();
     known.departedAt.reset();
     known.outdatedEntry.reset();
@@ -221,7 +241,7 @@
     const auto ended = m_endedEvacuations.find(domain);
     const store_position known =
             std::max(started == m_evacuations.end() ? store_position{} : started->second.position,
-                     ended == m_endedEvacuations.end() ? store_position{} : ended->second);
+                     ended == m_endedEvacuations.end() ? store_position{} : ended->second.position);
     if (object.position() <= known) {
         return {};
     }
@@ -229,33 +249,32 @@
         m_evacuations[domain] = {object.position(), std::nullopt};
         return {{"evacuation_started", domain, object.revision, object.fault}};
     }
-    if (started == m_evacuations.end()) {
-        m_endedEvacuations[domain] = object.position();
-        return {};
-    }
+    // Its servers are cold also if this instance has not known of the evacuation.
     return {endEvacuation(domain, object.position(), now)};
 }
 
 directory_change directory_builder::endEvacuation(const std::string &domain,
                                                   store_position position, time_point now)
 {
-    m_endedEvacuations[domain] = position;
+    m_endedEvacuations[domain] = {position, now};
     m_evacuations.erase(domain);
-    markColdAfterEvacuation(domain, now);
+    for (auto &[name, known] : m_servers) {
+        expectColdAfterEvacuation(known);
+    }
     return {"evacuation_ended", domain, position.revision, ""};
 }
 
-void directory_builder::markColdAfterEvacuation(const std::string &failureDomain, time_point now)
+void directory_builder::expectColdAfterEvacuation(known_server &known)
 {
-    const auto reportDelay = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(m_times.heartbeat) * ColdReportDelayInHeartbeats);
-    for (auto &[name, known] : m_servers) {
-        if (known.server.entry.failureDomain != failureDomain) {
-            continue;
-        }
+    const auto ended = m_endedEvacuations.find(known.server.entry.failureDomain);
+    if (ended != m_endedEvacuations.end()) {
+        const auto reportDelay = std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(m_times.heartbeat) * ColdReportDelayInHeartbeats);
         const duration cold = coldDurationOf(known.server.entry.service);
-        known.server.coldUntil = std::max(known.server.coldUntil, now + reportDelay + cold);
+        known.coldness.onEvacuationEnd(ended->second.position,
+                                       ended->second.at + reportDelay + cold);
     }
+    known.server.coldUntil = known.coldness.until();
 }
 
 duration directory_builder::coldDurationOf(const std::string &service) const
@@ -556,7 +575,11 @@
         }
     }
     for (const std::string &domain : lost) {
-        changes.push_back(endEvacuation(domain, m_evacuations[domain].position, now));
+        // The store does not tell when it ended, only that it had not up to this position.
+        const store_position known =
+                std::max(m_evacuations[domain].position,
+                         m_positions[static_cast<std::size_t>(store_kind::Evacuations)]);
+        changes.push_back(endEvacuation(domain, known, now));
     }
     return changes;
 }
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/version/directory.h"
 #include "forwarding/version/exported_knowledge.h"
+#include "forwarding/version/server_coldness.h"
 
 #include <map>
 #include <optional>
@@ -91,6 +92,7 @@
     struct known_server
     {
         directory_server server;
+        server_coldness coldness;
         std::optional<time_point> lapsesAt; ///< End of the grace period of a lapsed entry.
         std::optional<time_point> departedAt;
         /** Entry that an older copy of the store holds, while it contradicts what is known. */
@@ -105,10 +107,19 @@
         std::optional<time_point> lapsesAt; ///< Set if the copy of the store does not have it.
     };
 
+    struct ended_evacuation
+    {
+        store_position position;
+        time_point at; ///< When this instance learned of the end.
+    };
+
     std::vector<directory_change> applyServer(const store_object &object, time_point now);
     std::vector<directory_change> applyDesiredState(const store_object &object);
     std::vector<directory_change> applyEvacuation(const store_object &object, time_point now);
     void adoptEntry(known_server &known, const registered_server &entry, time_point now);
+    /** Applies what a peer knows besides a change that this instance has applied too. */
+    std::vector<directory_change> applySameChange(const store_object &object, known_server &known,
+                                                  const registered_server &entry, time_point now);
     /** Applies a report that the sender remembers although an older copy of the store lacks it. */
     std::vector<directory_change> applyLostReport(const store_object &object, known_server &known,
                                                   const registered_server &entry, time_point now);
@@ -130,7 +141,8 @@
     /** Marks as lapsed here too what has lapsed at the instance that sent its knowledge. */
     void takeOverLapses(const exported_knowledge &exported, time_point now);
     void takeOverOutdatedEntries(const exported_knowledge &exported, time_point now);
-    void markColdAfterEvacuation(const std::string &failureDomain, time_point now);
+    /** Takes the last ended evacuation of the server's failure domain into account. */
+    void expectColdAfterEvacuation(known_server &known);
     duration coldDurationOf(const std::string &service) const;
     /** Gives each server a token for new flows that no other server has. */
     void chooseTokens();
@@ -142,7 +154,7 @@
     std::map<std::string, known_server> m_servers;
     bool m_serversListed = false;
     std::map<std::string, known_evacuation> m_evacuations; ///< By failure domain.
-    std::map<std::string, store_position> m_endedEvacuations; ///< By failure domain.
+    std::map<std::string, ended_evacuation> m_endedEvacuations; ///< By failure domain.
     std::optional<time_point> m_lapseGraceUntil; ///< End of the grace period after an outage.
     known_positions m_positions{};
     std::vector<directory_change> m_tokenChanges;
--- a/tests/emulator/rule_test.cpp
+++ b/tests/emulator/rule_test.cpp
@@ -54,6 +54,24 @@
     checkNeeds("DRAIN", omitted_mechanism::DrainNews);
 }
 
+// Reports from before the end of the evacuation, which arrive after it, once made cold servers
+// warm.
+TEST_CASE_FIXTURE(rule_fixture, "FAILBACK, servers replaced until a domain is back, holds")
+{
+    plan.failureDomains = {"a", "b"};
+    plan.services.front().coldRate = 2;
+    plan.traffic[1].rate = 240;
+    for (std::chrono::milliseconds phase = 0ms; phase < 1'200ms; phase += 100ms) {
+        scenario_event away = samples::event("evacuation", 3s, 6s + phase);
+        away.failureDomain = "a";
+        scenario_event replaced = samples::event("server_replace", 4s, 5s, 8);
+        replaced.gap = 660ms;
+        plan.events = {away, replaced};
+        INFO(phase.count());
+        CHECK(daysBroken("FAILBACK", {}) == 0);
+    }
+}
+
 TEST_CASE_FIXTURE(rule_fixture, "CONFIG, route withdrawn, needs later desired states")
 {
     plan.events = {samples::event("route_removed", 5s, 5s)};
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -69,6 +69,31 @@
     }
 };
 
+/** Failure domain "a" is evacuated; servers are cold for 2 s and report every 1.2 s. */
+struct evacuation_fixture : directory_fixture
+{
+    evacuation_fixture()
+    {
+        subject.apply(store_kind::Evacuations, {"a", 20, false, store_value(evacuation{"a"}), {}},
+                      now);
+    }
+
+    void endEvacuation(std::uint64_t revision)
+    {
+        subject.apply(store_kind::Evacuations, {"a", revision, true, {}, {}}, now);
+    }
+    void reportAt(std::uint64_t revision, std::chrono::milliseconds cold)
+    {
+        registered_server server = samples::entry(1, "a");
+        server.coldRemaining = cold;
+        subject.apply(store_kind::BackendServers, samples::object(server, revision), now);
+    }
+    bool isCold(duration after)
+    {
+        return subject.snapshot()->byKey(server_key{1})->coldUntil > now + after;
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(directory_fixture, "desired state, older version at a newer revision, is ignored")
@@ -175,6 +200,48 @@
     CHECK(candidates() == 2);
 }
 
+// Kinds are watched apart, so a report from before the end of an evacuation may arrive after it.
+TEST_CASE_FIXTURE(evacuation_fixture, "evacuation over, older report arrives, server stays cold")
+{
+    endEvacuation(31);
+    reportAt(30, 0ms);
+    CHECK(isCold(3'700ms));
+}
+
+TEST_CASE_FIXTURE(evacuation_fixture, "evacuation over, server cold since, is cold as it reports")
+{
+    reportAt(40, 500ms);
+    endEvacuation(31);
+    CHECK(isCold(400ms));
+    CHECK_FALSE(isCold(600ms));
+}
+
+TEST_CASE_FIXTURE(evacuation_fixture, "evacuation over, server first seen after it, is cold")
+{
+    endEvacuation(31);
+    subject.apply(store_kind::BackendServers, samples::object(samples::entry(3, "a"), 30), now);
+    CHECK(subject.snapshot()->byKey(server_key{3})->coldUntil > now + 3'700ms);
+}
+
+TEST_CASE_FIXTURE(evacuation_fixture, "evacuation over, its start missed, server is cold")
+{
+    subject.apply(store_kind::Evacuations, {"b", 32, true, {}, {}}, now);
+    CHECK(subject.snapshot()->byKey(server_key{2})->coldUntil > now + 3'700ms);
+}
+
+TEST_CASE_FIXTURE(evacuation_fixture,
+                  "evacuation over, instance that starts, learns of cold servers")
+{
+    endEvacuation(31);
+    subject.advancePosition(store_kind::BackendServers, {0, 35});
+    directory_builder starting{{1'200ms}};
+    starting.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 11), now);
+    starting.retainListed(store_kind::BackendServers, {"i-1"}, {0, 35}, now);
+    starting.advancePosition(store_kind::BackendServers, {0, 35});
+    CHECK_FALSE(starting.integrate(subject.exportKnowledge(now), now).empty());
+    CHECK(starting.snapshot()->byKey(server_key{1})->coldUntil > now + 3'700ms);
+}
+
 // Two servers with one token: open flows of the earlier one once went to the one with the lower
 // key.
 TEST_CASE_FIXTURE(shared_token_fixture, "server starts, token of another one, takes no open flows")
