Forwarding: do not take changes from an earlier instance for all that it knows

An instance that starts pulls the knowledge of one that ran before, once, for what the store cannot tell: reports that the store lost, and how long servers stay cold. A pull of changes alone counted as that, so an instance that listed the store itself and then heard of one change never asked (m_hasEarlierKnowledge).

Now only knowledge with all backend servers counts.

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -200,7 +200,9 @@
         m_peers.onPullFailed(from, now);
         return;
     }
-    m_hasEarlierKnowledge = m_hasEarlierKnowledge || m_peers.startedEarlier(from);
+    // Changes alone lack what the earlier instance knows besides the last change of a server.
+    m_hasEarlierKnowledge = m_hasEarlierKnowledge
+                            || (valueOf(outcome).hasAllServers() && m_peers.startedEarlier(from));
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
     if (isAhead(valueOf(outcome).positions, m_knowledge.positions())) {
         // The source has withheld a part.
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -414,7 +414,7 @@
 directory_builder::takeOverDepartures(const exported_knowledge &exported, time_point now)
 {
     std::vector<directory_change> changes;
-    if (exported.since[static_cast<std::size_t>(store_kind::BackendServers)] != store_position{}) {
+    if (!exported.hasAllServers()) {
         return changes;
     }
     for (const exported_object &item : exported.servers) {
--- a/packages/forwarding/version/exported_knowledge.h
+++ b/packages/forwarding/version/exported_knowledge.h
@@ -60,6 +60,12 @@
     /** Entries of an older copy of the store that take effect when their grace period ends. */
     std::vector<exported_object> outdatedServers;
 
+    /** Returns whether it holds all backend servers, and not only what changed on them. */
+    bool hasAllServers() const
+    {
+        return since[static_cast<std::size_t>(store_kind::BackendServers)] == store_position{};
+    }
+
     /** Leaves out the desired state; the receiver then knows that it does not have it. */
     void withholdDesiredState()
     {
--- a/tests/forwarding/process/instance_control_test.cpp
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -121,6 +121,24 @@
     CHECK(port.pulls.size() == 1);
 }
 
+// Changes of an earlier peer once counted as all that it knows, so the cold times of servers that
+// had not changed were never asked for.
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "instance that listed the store, earlier peer passed on changes, asks for all")
+{
+    listCopy();
+    hearPeer(10'000, 9);
+    REQUIRE(port.pulls.size() == 1);
+    exported_knowledge changes;
+    changes.since = port.pulledSince;
+    changes.positions = samples::positions(9, 2);
+    ++port.answeredPulls;
+    subject.onKnowledge(peer, changes, now + 10ms);
+    hearPeer(10'000, 9);
+    REQUIRE(port.pulls.size() == 2);
+    CHECK(port.pulledSince == known_positions{});
+}
+
 TEST_CASE_FIXTURE(started_instance_fixture,
                   "instance with complete knowledge, peer has changes, asks for these only")
 {
