Forwarding: learn from earlier instances which servers are cold at a start

Cause: a list has the position of the whole store, a watch that of the last change of its kind. The instances that ran before seemed to be behind, so what they know was neither asked for nor merged, although both had the same report of each server. Ruled out: a lost answer; the pull succeeded with no changes.

Change: an instance that starts asks an earlier one also if that one seems to lack changes, once. From knowledge that is behind it takes the cold times of servers with the same report. An evacuation that the sender still knows and that a later list lacks has ended.

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -168,7 +168,12 @@
     }
     // The store may have come back from an older copy just before this instance read it. Instances
     // that ran before may remember later versions and reports.
-    const auto earlier = m_peers.findEarlierPeer(m_knowledge.positions(), now);
+    auto earlier = m_peers.findEarlierPeer(m_knowledge.positions(), now);
+    if (!earlier && !m_hasEarlierEstimates) {
+        // A list has the position of the whole store, so peers seem to lack changes until the next
+        // one, but they know which servers are cold after an evacuation.
+        earlier = m_peers.findEarlierPeer({}, now);
+    }
     if (earlier) {
         m_port.pullKnowledge(*earlier, {}, now);
     }
@@ -201,8 +206,11 @@
         return;
     }
     // Changes alone lack what the earlier instance knows besides the last change of a server.
-    m_hasEarlierKnowledge = m_hasEarlierKnowledge
-                            || (valueOf(outcome).hasAllServers() && m_peers.startedEarlier(from));
+    if (valueOf(outcome).hasAllServers() && m_peers.startedEarlier(from)) {
+        m_hasEarlierEstimates = true;
+        m_hasEarlierKnowledge = m_hasEarlierKnowledge
+                                || !isAhead(m_knowledge.positions(), valueOf(outcome).positions);
+    }
     const auto changes = m_knowledge.integrate(valueOf(outcome), now);
     if (isAhead(valueOf(outcome).positions, m_knowledge.positions())) {
         // The source has withheld a part.
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -136,6 +136,8 @@
     time_point m_nextPull; ///< Earliest time of the next pull.
     /** An instance that ran before this one has handed over its knowledge. */
     bool m_hasEarlierKnowledge = false;
+    /** An instance that ran before has told how long it counts servers as cold. */
+    bool m_hasEarlierEstimates = false;
     time_point m_startedAt;
     time_point m_nextHeartbeat;
     time_point m_nextExpiry;
--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -365,6 +365,7 @@
         const store_position own = m_positions[static_cast<std::size_t>(kind)];
         const bool isComplete = since == store_position{};
         if (position < own || (!isComplete && own < since)) {
+            std::ranges::move(applySameChanges(kind, objects, now), std::back_inserter(changes));
             return;
         }
         std::set<std::string> names;
@@ -405,11 +406,51 @@
     merge(store_kind::BackendServers, servers);
     merge(store_kind::Evacuations, evacuations);
     std::ranges::move(takeOverDepartures(exported, now), std::back_inserter(changes));
+    std::ranges::move(takeOverEndedEvacuations(exported, now), std::back_inserter(changes));
     takeOverLapses(exported, now);
     takeOverOutdatedEntries(exported, now);
     return changes;
 }
 
+std::vector<directory_change>
+directory_builder::applySameChanges(store_kind kind, const std::vector<store_object> &objects,
+                                    time_point now)
+{
+    std::vector<directory_change> changes;
+    for (const store_object &object : objects) {
+        const auto found = m_servers.find(object.name);
+        if (kind != store_kind::BackendServers || found == m_servers.end()
+            || found->second.server.position != object.position()) {
+            continue;
+        }
+        std::ranges::move(apply(kind, object, now), std::back_inserter(changes));
+    }
+    return changes;
+}
+
+std::vector<directory_change>
+directory_builder::takeOverEndedEvacuations(const exported_knowledge &exported, time_point now)
+{
+    constexpr auto Kind = static_cast<std::size_t>(store_kind::Evacuations);
+    std::vector<directory_change> changes;
+    const store_position own = m_positions[Kind];
+    if (exported.positions[Kind] >= own) {
+        return changes;
+    }
+    for (const exported_object &item : exported.evacuations) {
+        const auto ended = m_endedEvacuations.find(item.name);
+        const bool isKnown =
+                m_evacuations.contains(item.name)
+                || (ended != m_endedEvacuations.end() && ended->second.position >= item.position);
+        // In another era the store may have lost it, and its writer writes it again.
+        if (isKnown || item.position.era != own.era) {
+            continue;
+        }
+        changes.push_back(endEvacuation(item.name, own, now));
+    }
+    return changes;
+}
+
 std::vector<directory_change>
 directory_builder::takeOverDepartures(const exported_knowledge &exported, time_point now)
 {
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -134,6 +134,12 @@
                                                           time_point now);
     directory_change endEvacuation(const std::string &domain, store_position position,
                                    time_point now);
+    /** Applies what an instance that lacks later changes knows besides those that both have. */
+    std::vector<directory_change>
+    applySameChanges(store_kind kind, const std::vector<store_object> &objects, time_point now);
+    /** Ends evacuations that the sender has not seen end, but that are missing in a later list. */
+    std::vector<directory_change> takeOverEndedEvacuations(const exported_knowledge &exported,
+                                                           time_point now);
     /** Adds departed servers that share a token with a server, so that no other gets their flows.
      */
     std::vector<directory_change> takeOverDepartures(const exported_knowledge &exported,
--- a/tests/forwarding/process/instance_control_test.cpp
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -121,6 +121,25 @@
     CHECK(port.pulls.size() == 1);
 }
 
+// A list has the position of the whole store, so an earlier peer was not asked until the next
+// change.
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "instance that listed the store, earlier peer at an older change, is asked once")
+{
+    listCopy();
+    hearPeer(10'000, 7);
+    REQUIRE(port.pulls.size() == 1);
+    CHECK(port.pulledSince == known_positions{});
+    exported_knowledge older = peerKnowledge();
+    older.positions = samples::positions(7, 2);
+    ++port.answeredPulls;
+    subject.onKnowledge(peer, older, now + 10ms);
+    hearPeer(10'000, 7);
+    CHECK(port.pulls.size() == 1);
+    hearPeer(10'000, 8);
+    CHECK(port.pulls.size() == 2);
+}
+
 // Changes of an earlier peer once counted as all that it knows, so the cold times of servers that
 // had not changed were never asked for.
 TEST_CASE_FIXTURE(started_instance_fixture,
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -88,6 +88,20 @@
         server.coldRemaining = cold;
         subject.apply(store_kind::BackendServers, samples::object(server, revision), now);
     }
+    /** Lists the servers of the fixture, after the evacuation has ended. */
+    void listAtStart(directory_builder &starting, std::uint64_t revision)
+    {
+        starting.apply(store_kind::DesiredState, samples::object(samples::desiredState(5), 10),
+                       now);
+        starting.apply(store_kind::BackendServers, samples::object(samples::entry(1, "a"), 11),
+                       now);
+        starting.apply(store_kind::BackendServers, samples::object(samples::entry(2, "b"), 12),
+                       now);
+        starting.retainListed(store_kind::BackendServers, {"i-1", "i-2"}, {0, revision}, now);
+        starting.advancePosition(store_kind::BackendServers, {0, revision});
+        starting.retainListed(store_kind::Evacuations, {}, {0, revision}, now);
+        starting.advancePosition(store_kind::Evacuations, {0, revision});
+    }
     bool isCold(duration after)
     {
         return subject.snapshot()->byKey(server_key{1})->coldUntil > now + after;
@@ -242,6 +256,33 @@
     CHECK(starting.snapshot()->byKey(server_key{1})->coldUntil > now + 3'700ms);
 }
 
+TEST_CASE_FIXTURE(evacuation_fixture,
+                  "evacuation over, instance that listed a later position, learns of cold servers")
+{
+    endEvacuation(31);
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
+    subject.advancePosition(store_kind::Evacuations, {0, 31});
+    directory_builder starting{{1'200ms}};
+    listAtStart(starting, 35);
+    CHECK_FALSE(starting.integrate(subject.exportKnowledge(now), now).empty());
+    CHECK(starting.snapshot()->byKey(server_key{1})->coldUntil > now + 3'700ms);
+    CHECK(starting.snapshot()->byKey(server_key{2})->coldUntil <= now);
+}
+
+TEST_CASE_FIXTURE(evacuation_fixture,
+                  "evacuation not over at a peer, missing in a later list, has ended")
+{
+    subject.advancePosition(store_kind::BackendServers, {0, 12});
+    subject.advancePosition(store_kind::Evacuations, {0, 20});
+    directory_builder starting{{1'200ms}};
+    listAtStart(starting, 35);
+    const auto changes = starting.integrate(subject.exportKnowledge(now), now);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().event == "evacuation_ended");
+    CHECK(starting.snapshot()->byKey(server_key{1})->coldUntil > now + 3'700ms);
+    CHECK(starting.integrate(subject.exportKnowledge(now), now).empty());
+}
+
 // Two servers with one token: open flows of the earlier one once went to the one with the lower
 // key.
 TEST_CASE_FIXTURE(shared_token_fixture, "server starts, token of another one, takes no open flows")
