Platform: read the other objects of an answer if one cannot be read

Operators of similar systems reported one odd entry, very deeply nested, with a number too large or with a port out of range, that ended the following of the list. Ports out of range were rejected alone already. No process ended.

Cause: the JSON library reads an answer as a whole, so its limits apply to all objects together.

Change: json_slices splits such an answer at its objects, without recursion and without reading them; each is then read apart. One that cannot be read costs itself; its name and revision are kept if these can be read, else it is logged as store_objects_unreadable. Answers that can be read take the same path as before.

--- a/packages/forwarding/process/store_follower.cpp
+++ b/packages/forwarding/process/store_follower.cpp
@@ -289,6 +289,13 @@
 void store_follower::onPage(store_kind kind, const store_page &page, time_point now)
 {
     follow_state &state = stateOf(kind);
+    if (page.unnamedObjects > 0) {
+        m_events.push_back({"store_objects_unreadable",
+                            kind,
+                            std::to_string(page.unnamedObjects) + ", first: " + page.unnamedFault,
+                            page.revision,
+                            {}});
+    }
     for (const store_object &object : page.objects) {
         auto changes = m_knowledge.apply(kind, object, now);
         std::move(changes.begin(), changes.end(), std::back_inserter(m_changes));
--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -176,6 +177,8 @@
     bool hasMore = false; ///< List only: another page follows, starting after `lastName`.
     std::string lastName;
     std::uint64_t era = 0; ///< See store_position; zero if the store did not tell it.
+    std::size_t unnamedObjects = 0; ///< Left out, as not even their names could be read.
+    std::string unnamedFault{}; ///< Of the first of these.
 
     store_position position() const { return {era, revision}; }
 };
--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -1,5 +1,7 @@
 #include "platform/object_codec.h"
 
+#include "platform/json_slices.h"
+
 #include <json/reader.h>
 #include <json/value.h>
 
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <limits>
 #include <memory>
+#include <string_view>
 
 namespace ebonyway::platform {
 
@@ -277,25 +280,28 @@
     return unreadable("unknown object kind");
 }
 
-std::optional<store_object> decodeObject(store_kind kind, const Json::Value &json, bool deleted)
+/** Decodes the name and revision of an object. */
+std::optional<store_object> decodeMeta(const Json::Value &meta, bool deleted)
 {
-    const Json::Value meta = member_reader(json).find("meta");
     member_reader members(meta);
     store_object object;
     object.name = members.text("name");
     object.revision = members.number("rev");
     object.deleted = deleted;
-    if (!members.fault().empty()) {
-        return std::nullopt;
-    }
-    if (deleted) {
+    return members.fault().empty() ? std::optional(object) : std::nullopt;
+}
+
+std::optional<store_object> decodeObject(store_kind kind, const Json::Value &json, bool deleted)
+{
+    std::optional<store_object> object = decodeMeta(member_reader(json).find("meta"), deleted);
+    if (!object || deleted) {
         return object;
     }
-    decoded_value value = decodeValue(kind, object.name, member_reader(json).find("spec"));
+    decoded_value value = decodeValue(kind, object->name, member_reader(json).find("spec"));
     if (isOk(value)) {
-        object.value = std::move(valueOf(value));
+        object->value = std::move(valueOf(value));
     } else {
-        object.fault = errorOf(value).message;
+        object->fault = errorOf(value).message;
     }
     return object;
 }
@@ -315,19 +321,95 @@
     }
 }
 
-void decodeObjects(const store_call &call, const Json::Value &root, store_page &page)
+/** Parses JSON texts, also those that exceed the limits of the JSON library. */
+class json_parser
 {
-    member_reader members(root);
-    for (const Json::Value &item : members.find(call.isWatch ? "events" : "items")) {
-        const Json::Value &object = call.isWatch ? member_reader(item).find("object") : item;
-        const Json::Value &deleted = member_reader(item).find("deleted");
-        const bool isGone = call.isWatch && deleted.isBool() && deleted.asBool();
-        auto decoded = decodeObject(call.kind, object, isGone);
-        if (decoded) {
-            page.lastName = decoded->name;
-            page.objects.push_back(std::move(*decoded));
+public:
+    json_parser()
+        : m_reader(Json::CharReaderBuilder().newCharReader())
+    { }
+
+    /** Returns the value, or nothing if it cannot be read; see fault(). */
+    std::optional<Json::Value> parse(std::string_view text)
+    {
+        Json::Value value;
+        m_fault.clear();
+        try {
+            if (m_reader->parse(text.data(), text.data() + text.size(), &value, &m_fault)) {
+                return value;
+            }
+        } catch (const Json::Exception &deep) {
+            // jsoncpp throws if the nesting exceeds its stack limit.
+            m_fault = deep.what();
+        }
+        return std::nullopt;
+    }
+
+    std::string fault() const { return m_fault.substr(0, MaxFaultBytes); }
+
+private:
+    std::unique_ptr<Json::CharReader> m_reader;
+    std::string m_fault;
+};
+
+void addObject(std::optional<store_object> object, const std::string &fault, store_page &page)
+{
+    if (object) {
+        page.lastName = object->name;
+        page.objects.push_back(std::move(*object));
+        return;
+    }
+    if (page.unnamedObjects++ == 0) {
+        page.unnamedFault = fault;
+    }
+}
+
+void decodeItem(const store_call &call, const Json::Value &item, store_page &page)
+{
+    const Json::Value &object = call.isWatch ? member_reader(item).find("object") : item;
+    const Json::Value &deleted = member_reader(item).find("deleted");
+    const bool isGone = call.isWatch && deleted.isBool() && deleted.asBool();
+    addObject(decodeObject(call.kind, object, isGone), "it has no name and revision", page);
+}
+
+/** Decodes an item that the JSON library cannot read; only its name and revision are needed. */
+void decodeUnreadableItem(const store_call &call, std::string_view item, const std::string &fault,
+                          json_parser &parser, store_page &page)
+{
+    const auto object = call.isWatch ? sliceJsonMember(item, "object") : std::optional(item);
+    const bool isGone = call.isWatch && sliceJsonMember(item, "deleted") == "true";
+    const auto metaText = object ? sliceJsonMember(*object, "meta") : std::nullopt;
+    const auto meta = metaText ? parser.parse(*metaText) : std::nullopt;
+    auto decoded = meta ? decodeMeta(*meta, isGone) : std::nullopt;
+    if (decoded) {
+        decoded->fault = fault;
+    }
+    addObject(std::move(decoded), fault, page);
+}
+
+/** Decodes an answer in which a part cannot be read; the other parts are decoded as usual. */
+store_answer decodeByParts(const store_call &call, std::string_view body, json_parser &parser)
+{
+    const store_failure unreadable{store_failure::cause::Unreadable, parser.fault()};
+    const auto revisionText = sliceJsonMember(body, "currentRev");
+    const auto itemsText = sliceJsonMember(body, call.isWatch ? "events" : "items");
+    const auto items = itemsText ? sliceJsonArray(*itemsText) : std::nullopt;
+    const auto revision = revisionText ? parser.parse(*revisionText) : std::nullopt;
+    if (!items || !revision || !revision->isUInt64()) {
+        return unreadable;
+    }
+    store_page page;
+    page.revision = revision->asUInt64();
+    page.hasMore = !call.isWatch && sliceJsonMember(body, "more") == "true";
+    for (const std::string_view text : *items) {
+        const auto item = parser.parse(text);
+        if (item) {
+            decodeItem(call, *item, page);
+            continue;
         }
+        decodeUnreadableItem(call, text, parser.fault(), parser, page);
     }
+    return page;
 }
 
 } // namespace
@@ -376,28 +458,23 @@
     if (httpStatus != 200) {
         return failureFromStatus(httpStatus, body);
     }
-    Json::Value root;
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    std::string fault;
-    try {
-        if (!reader->parse(body.data(), body.data() + body.size(), &root, &fault)) {
-            return store_failure{store_failure::cause::Unreadable, fault.substr(0, MaxFaultBytes)};
-        }
-        member_reader members(root);
-        store_page page;
-        page.revision = members.number("currentRev");
-        const Json::Value &more = members.find("more");
-        page.hasMore = !call.isWatch && more.isBool() && more.asBool();
-        if (!members.fault().empty()) {
-            return store_failure{store_failure::cause::Unreadable, members.fault()};
-        }
-        decodeObjects(call, root, page);
-        return page;
-    } catch (const Json::Exception &deep) {
-        // jsoncpp throws if the nesting exceeds its stack limit.
-        return store_failure{store_failure::cause::Unreadable, deep.what()};
+    json_parser parser;
+    const auto root = parser.parse(body);
+    if (!root) {
+        return decodeByParts(call, body, parser);
+    }
+    member_reader members(*root);
+    store_page page;
+    page.revision = members.number("currentRev");
+    const Json::Value &more = members.find("more");
+    page.hasMore = !call.isWatch && more.isBool() && more.asBool();
+    if (!members.fault().empty()) {
+        return store_failure{store_failure::cause::Unreadable, members.fault()};
+    }
+    for (const Json::Value &item : members.find(call.isWatch ? "events" : "items")) {
+        decodeItem(call, item, page);
     }
+    return page;
 }
 
 } // namespace ebonyway::platform
--- a/tests/platform/object_codec_test.cpp
+++ b/tests/platform/object_codec_test.cpp
@@ -170,6 +170,76 @@
     }
 }
 
+// One such entry once made the whole answer unreadable, so the instance followed no changes.
+TEST_CASE_FIXTURE(object_fixture, "entry beyond the parser's limits, beside others, hides none")
+{
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string &odd :
+         {nested, std::string("1e999"), std::string("-1e999"), "1" + std::string(400, '0'),
+          std::string(R"("\ud800")"), std::string("\"\x01\xff\""), std::string("truthy"),
+          std::string(R"({"service":"a\"}]{","addr":1e999})"), std::string(R"({"slots":NaN})")}) {
+        INFO(odd.substr(0, 40));
+        const std::string objects =
+                item("i-1", ServerSpec) + "," + item("i-2", odd) + "," + item("i-3", ServerSpec);
+        const auto read = page(decodeAnswer(listServers, 200, list(objects)));
+        CHECK(read.revision == 530);
+        REQUIRE(read.objects.size() == 3);
+        CHECK(read.objects[0].value);
+        CHECK(read.objects[1].name == "i-2");
+        CHECK(read.objects[1].revision == 12);
+        CHECK_FALSE(read.objects[1].value);
+        CHECK_FALSE(read.objects[1].fault.empty());
+        CHECK(read.objects[2].value);
+
+        const store_call watch{store_kind::BackendServers, true, 500, "", {}, {}};
+        const std::string events = R"({"events":[{"deleted":false,"object":)" + item("i-2", odd)
+                                   + R"(},{"deleted":true,"object":)" + item("i-4", odd)
+                                   + R"(},{"deleted":false,"object":)" + item("i-3", ServerSpec)
+                                   + R"(}],"currentRev":533})";
+        const auto changes = page(decodeAnswer(watch, 200, events));
+        REQUIRE(changes.objects.size() == 3);
+        CHECK_FALSE(changes.objects[0].value);
+        CHECK_FALSE(changes.objects[0].deleted);
+        CHECK(changes.objects[1].deleted);
+        CHECK(changes.objects[2].value);
+    }
+}
+
+TEST_CASE_FIXTURE(object_fixture, "entry without a readable name, beside others, is counted")
+{
+    for (const std::string odd : {R"(7)", R"({"meta":{"name":3,"rev":1},"spec":{}})",
+                                  R"({"meta":{"name":"\ud800","rev":1},"spec":{}})"}) {
+        const auto read =
+                page(decodeAnswer(listServers, 200, list(odd + "," + item("i-2", ServerSpec))));
+        REQUIRE(read.objects.size() == 1);
+        CHECK(read.objects.front().value);
+        CHECK(read.unnamedObjects == 1);
+        CHECK_FALSE(read.unnamedFault.empty());
+    }
+}
+
+TEST_CASE_FIXTURE(object_fixture, "server entry, port out of range, names no server")
+{
+    for (const std::string port :
+         {"0", "65536", "70000", "4294975376", "99999999999999999999", "-1", "1e3", ""}) {
+        const std::string spec = R"({"service":"a","addr":"10.0.0.1:)" + port
+                                 + R"(","zone":"z","version":"v","slots":1,"state":"ready",)"
+                                 + R"("coldLeftMs":0,"seq":1,"born":1})";
+        const auto read = page(decodeAnswer(listServers, 200, list(item("i-1", spec))));
+        REQUIRE(read.objects.size() == 1);
+        CHECK_FALSE(read.objects.front().value);
+    }
+}
+
+TEST_CASE_FIXTURE(object_fixture, "answer that is cut, decoded, is unreadable")
+{
+    const std::string whole = list(item("i-1", ServerSpec) + "," + item("i-2", R"("\ud800")"));
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        const auto answer = decodeAnswer(listServers, 200, whole.substr(0, length));
+        REQUIRE(std::holds_alternative<store_failure>(answer));
+    }
+}
+
 TEST_CASE_FIXTURE(object_fixture, "deeply nested answer, decoded, is unreadable")
 {
     const auto answer = decodeAnswer(listServers, 200, std::string(100'000, '['));
--- a/tests/system/forwarding_session_test.cpp
+++ b/tests/system/forwarding_session_test.cpp
@@ -248,6 +248,23 @@
     CHECK(metrics(1).find("ebonyway_store_era{kind=\"desired_state\"} 2") != std::string::npos);
 }
 
+// An entry that the JSON library cannot read once ended the following of all changes.
+TEST_CASE_FIXTURE(forwarding_session_fixture,
+                  "odd entries among the servers, instance starts, follows all other changes")
+{
+    store.put("servers", "i-1", std::string(5'000, '[') + std::string(5'000, ']'));
+    store.put("servers", "i-2", R"({"slots":1e999})");
+    store.put("servers", "i-3", R"({"service":"\ud800"})");
+    store.put("servers", "i-7f3a91c2", serverSpec(5, "ready"));
+    const forwarding_instance instance(1);
+    REQUIRE(eventually([] { return readiness(1) == 200; }));
+    CHECK_FALSE(throughInstance(1, opening(7)).empty());
+    store.put("servers", "i-4", R"({"slots":1e999})");
+    store.put("servers", "i-7f3a91c3", serverSpec(6, "ready"));
+    CHECK(eventually(
+            [] { return metrics(1).find("ebonyway_backend_servers 2\n") != std::string::npos; }));
+}
+
 TEST_CASE_FIXTURE(forwarding_session_fixture,
                   "store down, instance starts, learns everything from another one")
 {
