Platform: reject server entries in which a field is missing

Cause: decodeServer took missing fields for zero, and did not look at version.

Change: each field is required and must have its type.

--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -113,10 +113,11 @@
         return std::clamp(member.asDouble(), 0.0, MaxReal);
     }
 
+    std::chrono::milliseconds millis(const char *name) { return boundedMillis(number(name)); }
+
     std::chrono::milliseconds millisOr(const char *name, std::uint64_t fallback)
     {
-        constexpr std::uint64_t MaxMillis = 1'000ULL * 86'400 * 365 * 200;
-        return std::chrono::milliseconds(std::min(numberOr(name, fallback), MaxMillis));
+        return boundedMillis(numberOr(name, fallback));
     }
 
     const Json::Value &find(const char *name) const
@@ -135,6 +136,12 @@
     const std::string &fault() const { return m_fault; }
 
 private:
+    static std::chrono::milliseconds boundedMillis(std::uint64_t count)
+    {
+        constexpr std::uint64_t MaxMillis = 1'000ULL * 86'400 * 365 * 200;
+        return std::chrono::milliseconds(std::min(count, MaxMillis));
+    }
+
     const Json::Value &m_object;
     std::string m_fault;
 };
@@ -163,9 +170,10 @@
             std::min<std::uint64_t>(members.number("slots"), std::numeric_limits<int>::max()));
     const std::string state = members.text("state");
     entry.draining = state == "draining";
-    entry.coldRemaining = members.millisOr("coldLeftMs", 0);
+    members.text("version");
+    entry.coldRemaining = members.millis("coldLeftMs");
     entry.reportCount = members.number("seq");
-    entry.startedAt = members.millisOr("born", 0);
+    entry.startedAt = members.millis("born");
     if (!members.fault().empty()) {
         return unreadable(members.fault());
     }
--- a/tests/platform/object_codec_test.cpp
+++ b/tests/platform/object_codec_test.cpp
@@ -1,3 +1,4 @@
+#include "core/json_text.h"
 #include "core/seeded_random.h"
 #include "platform/object_codec.h"
 
@@ -80,6 +81,30 @@
     }
 }
 
+// An entry without some fields, of another writer, once brought flows to a server of another
+// service.
+TEST_CASE_FIXTURE(object_fixture,
+                  "server entry, any field missing or of another type, names no server")
+{
+    const auto parsed = parseJsonObject(ServerSpec);
+    REQUIRE(isOk(parsed));
+    const Json::Value &whole = valueOf(parsed);
+    for (const std::string &name : whole.getMemberNames()) {
+        INFO(name);
+        Json::Value odd = whole;
+        odd.removeMember(name);
+        const bool isText = whole[name].isString();
+        for (const Json::Value &replaced : {Json::Value(), Json::Value(Json::arrayValue),
+                                            isText ? Json::Value(7) : Json::Value("7")}) {
+            const auto read =
+                    page(decodeAnswer(listServers, 200, list(item("i-1", compactJson(odd)))));
+            REQUIRE(read.objects.size() == 1);
+            CHECK_FALSE(read.objects.front().value);
+            odd[name] = replaced;
+        }
+    }
+}
+
 TEST_CASE_FIXTURE(object_fixture, "desired state, decoded, has routes with shares and limits")
 {
     const store_call call{store_kind::DesiredState, false, 0, "", {}, {}};
