Forwarding: take cold estimates from peers only

The estimate of a peer for a server with the same report was applied wherever a report is seen again, so also when the store lists an entry anew, after a gap in its history: the cold time of the entry then began again.

Measured: "report of a cold server, listed again, makes it no colder" fails without the change and passes with it; 155 of 155 cases of test_forwarding pass.

--- a/packages/forwarding/version/directory_builder.cpp
+++ b/packages/forwarding/version/directory_builder.cpp
@@ -66,7 +66,7 @@
     const auto *entry = object.value ? std::get_if<registered_server>(&*object.value) : nullptr;
     if (found != m_servers.end() && object.position() <= found->second.server.position) {
         const bool isSameChange = entry && object.position() == found->second.server.position;
-        return isSameChange ? applySameChange(object, found->second, *entry, now)
+        return isSameChange ? applyLostReport(object, found->second, *entry, now)
                             : std::vector<directory_change>{};
     }
     if (!entry) {
@@ -103,25 +103,6 @@
     return {{"backend_server_updated", object.name, object.revision, describeServer(*entry)}};
 }
 
-std::vector<directory_change> directory_builder::applySameChange(const store_object &object,
-                                                                 known_server &known,
-                                                                 const registered_server &entry,
-                                                                 time_point now)
-{
-    auto changes = applyLostReport(object, known, entry, now);
-    if (!changes.empty() || known.departedAt || entry.startedAt != known.server.entry.startedAt) {
-        return changes;
-    }
-    const time_point coldUntil = known.server.coldUntil;
-    known.coldness.onPeerEstimate(entry.coldRemaining, now);
-    known.server.coldUntil = known.coldness.until();
-    if (known.server.coldUntil > std::max(coldUntil, now)) {
-        changes.push_back({"backend_server_updated", object.name, object.revision,
-                           describeServer(entry) + ", according to a peer"});
-    }
-    return changes;
-}
-
 std::vector<directory_change> directory_builder::applyLostReport(const store_object &object,
                                                                  known_server &known,
                                                                  const registered_server &entry,
@@ -365,7 +346,6 @@
         const store_position own = m_positions[static_cast<std::size_t>(kind)];
         const bool isComplete = since == store_position{};
         if (position < own || (!isComplete && own < since)) {
-            std::ranges::move(applySameChanges(kind, objects, now), std::back_inserter(changes));
             return;
         }
         std::set<std::string> names;
@@ -407,23 +387,33 @@
     merge(store_kind::Evacuations, evacuations);
     std::ranges::move(takeOverDepartures(exported, now), std::back_inserter(changes));
     std::ranges::move(takeOverEndedEvacuations(exported, now), std::back_inserter(changes));
+    std::ranges::move(takeOverColdEstimates(exported, now), std::back_inserter(changes));
     takeOverLapses(exported, now);
     takeOverOutdatedEntries(exported, now);
     return changes;
 }
 
 std::vector<directory_change>
-directory_builder::applySameChanges(store_kind kind, const std::vector<store_object> &objects,
-                                    time_point now)
+directory_builder::takeOverColdEstimates(const exported_knowledge &exported, time_point now)
 {
     std::vector<directory_change> changes;
-    for (const store_object &object : objects) {
-        const auto found = m_servers.find(object.name);
-        if (kind != store_kind::BackendServers || found == m_servers.end()
-            || found->second.server.position != object.position()) {
+    for (const exported_object &item : exported.servers) {
+        const auto found = m_servers.find(item.name);
+        if (item.departed || found == m_servers.end()) {
             continue;
         }
-        std::ranges::move(apply(kind, object, now), std::back_inserter(changes));
+        known_server &known = found->second;
+        if (known.departedAt || known.server.position != item.position
+            || known.server.entry.startedAt != item.server.startedAt) {
+            continue;
+        }
+        const time_point before = known.server.coldUntil;
+        known.coldness.onPeerEstimate(item.server.coldRemaining, now);
+        known.server.coldUntil = known.coldness.until();
+        if (known.server.coldUntil > std::max(before, now)) {
+            changes.push_back({"backend_server_updated", item.name, item.position.revision,
+                               describeServer(item.server) + ", according to a peer"});
+        }
     }
     return changes;
 }
--- a/packages/forwarding/version/directory_builder.h
+++ b/packages/forwarding/version/directory_builder.h
@@ -117,9 +117,6 @@
     std::vector<directory_change> applyDesiredState(const store_object &object);
     std::vector<directory_change> applyEvacuation(const store_object &object, time_point now);
     void adoptEntry(known_server &known, const registered_server &entry, time_point now);
-    /** Applies what a peer knows besides a change that this instance has applied too. */
-    std::vector<directory_change> applySameChange(const store_object &object, known_server &known,
-                                                  const registered_server &entry, time_point now);
     /** Applies a report that the sender remembers although an older copy of the store lacks it. */
     std::vector<directory_change> applyLostReport(const store_object &object, known_server &known,
                                                   const registered_server &entry, time_point now);
@@ -134,14 +131,13 @@
                                                           time_point now);
     directory_change endEvacuation(const std::string &domain, store_position position,
                                    time_point now);
-    /** Applies what an instance that lacks later changes knows besides those that both have. */
-    std::vector<directory_change>
-    applySameChanges(store_kind kind, const std::vector<store_object> &objects, time_point now);
+    /** Takes over how long the sender counts servers as cold, besides the same report of them. */
+    std::vector<directory_change> takeOverColdEstimates(const exported_knowledge &exported,
+                                                        time_point now);
     /** Ends evacuations that the sender has not seen end, but that are missing in a later list. */
     std::vector<directory_change> takeOverEndedEvacuations(const exported_knowledge &exported,
                                                            time_point now);
-    /** Adds departed servers that share a token with a server, so that no other gets their flows.
-     */
+    /** Adds departed servers that share a token, so that no other server gets their flows. */
     std::vector<directory_change> takeOverDepartures(const exported_knowledge &exported,
                                                      time_point now);
     /** Marks as lapsed here too what has lapsed at the instance that sent its knowledge. */
--- a/tests/forwarding/version/directory_builder_test.cpp
+++ b/tests/forwarding/version/directory_builder_test.cpp
@@ -230,6 +230,16 @@
     CHECK_FALSE(isCold(600ms));
 }
 
+// A list after a gap in the store's history repeats entries, whose cold times have partly passed.
+TEST_CASE_FIXTURE(evacuation_fixture, "report of a cold server, listed again, makes it no colder")
+{
+    reportAt(40, 500ms);
+    now += 400ms;
+    reportAt(40, 500ms);
+    CHECK(isCold(90ms));
+    CHECK_FALSE(isCold(110ms));
+}
+
 TEST_CASE_FIXTURE(evacuation_fixture, "evacuation over, server first seen after it, is cold")
 {
     endEvacuation(31);
