--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -329,7 +329,7 @@
     }
 }
 
-/** Parses JSON texts, also those that exceed the limits of the JSON library. */
+/** Parses JSON texts. A text beyond the limits of the JSON library is a fault like any other. */
 class json_parser
 {
 public:
