Design: plan of load management and its interfaces

Instances know only their own flows, so they neither balance the servers of other domains nor refuse what a service cannot serve. Nothing includes the new headers yet.

--- /dev/null
+++ b/packages/forwarding/connection/expected_wait.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace ebonyway {
+
+/** What an instance knows of the requests at one backend server. */
+struct server_queue
+{
+    double ownRequests = 0; ///< Requests of this instance that are under way or about to begin.
+    double peerRequests = 0; ///< Mean requests under way of all other instances, estimated.
+    std::uint32_t reporters = 0; ///< Instances whose reports the estimate is based on.
+    std::uint32_t slots = 1;
+    duration answerTime{}; ///< Mean of recent answers; zero if there are none.
+    std::uint32_t answerReporters = 0; ///< Instances whose answers are in the mean.
+};
+
+/** What a backend server of the service usually has. */
+struct usual_queue
+{
+    double requestsPerSlot = 0;
+    duration answerTime{}; ///< Zero if unknown; speeds then count as equal.
+};
+
+/** Returns the expected time until the server begins to work on a new request. */
+duration expectedWait(const server_queue &server, const usual_queue &usual);
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/connection/flow_admission.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/ip_address.h"
+#include "forwarding/connection/service_demand.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ebonyway {
+
+/** Demand of the callers of one failure domain on one route of a service. */
+struct admission_demand
+{
+    std::string failureDomain;
+    std::uint32_t priority = 0; ///< Zero is the most urgent.
+    service_demand demand;
+};
+
+/** Demand for a service and the slots of its servers, over all failure domains in reach. */
+struct admission_input
+{
+    std::uint32_t service = 0; ///< demandTag() of the service's name.
+    double slots = 0;
+    std::vector<admission_demand> demands;
+};
+
+/** Reports that a service has begun or ended to refuse new flows. */
+struct admission_change
+{
+    std::uint32_t service = 0;
+    bool shedding = false;
+    double demand = 0; ///< In slots.
+    double slots = 0;
+    double pressure = 0; ///< Requests under way per slot.
+};
+
+/**
+ * Decides which new flows are refused when a service cannot serve all that is asked for: the least
+ * urgent first, as many as necessary, and the same share at every instance that has the same
+ * reports. Answers the load of a service whose callers ask for more than its slots bear.
+ */
+class flow_admission
+{
+public:
+    /** `failureDomain` is the one of this instance; its callers are the ones that are refused. */
+    explicit flow_admission(std::string failureDomain);
+
+    /** Recomputes the shares of all services; call it every 200 ms. */
+    void update(const std::vector<admission_input> &services, time_point now);
+
+    /** Returns the share of callers on the route that are let through now, in (0, 1]. */
+    double share(std::uint32_t service, std::uint32_t route) const;
+    /**
+     * Returns whether a caller is let through. Callers that are refused stay refused when they try
+     * again in the same round, at any instance with the same share.
+     */
+    bool admits(std::uint32_t service, std::uint32_t route, const ip_address &caller,
+                std::uint64_t round) const;
+
+    /** Returns the requests under way per slot of the service; zero if unknown. */
+    double pressure(std::uint32_t service) const;
+    /** Returns how long a new request of the service waits for a slot on average. */
+    duration expectedDelay(std::uint32_t service) const;
+    /** Returns whether servers of the service hardly queue requests. */
+    bool isLightlyLoaded(std::uint32_t service) const;
+
+    /** Returns and clears the changes since the last call. */
+    std::vector<admission_change> takeChanges();
+};
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/process/load_reports.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "forwarding/connection/shared_load.h"
+#include "forwarding/process/peer_message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ebonyway {
+
+/**
+ * Keeps the last load report of each instance and estimates the load of the whole deployment from
+ * those that are recent. The cost follows the number of reports received in that time, which does
+ * not grow with the deployment.
+ */
+class load_reports
+{
+public:
+    /** `self` is the name of this instance, whose own report is added like those of the others. */
+    explicit load_reports(std::string self);
+
+    /** Adds a report, which replaces the instance's earlier one. Implausible entries are ignored.
+     */
+    void add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+             const std::vector<service_demand> &demands, time_point now);
+    /** Drops the report of an instance that leaves. */
+    void remove(const std::string &instance);
+
+    /**
+     * Estimates the load of all instances. `instances` is the number of known instances in each
+     * failure domain, including this one; sums of a domain are scaled to it, so that reports that
+     * are lost or late do not lower the estimate.
+     */
+    shared_load estimate(const std::map<std::string, std::size_t> &instances, time_point now);
+
+    /** Returns the number of implausible entries since the start. */
+    std::uint64_t ignoredEntries() const;
+};
+
+} // namespace ebonyway
