--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -45,7 +45,9 @@
     , m_control({"instance-" + std::to_string(m_where.id), m_where.failureDomain,
                  addressOf(m_where.id), millisOf(queue.now()), seed, boot == 1},
                 {}, *this, m_log)
-    , m_forwarder({m_where.failureDomain, seed, FlowCapacity}, m_log.observer())
+    , m_forwarder(
+              {m_where.failureDomain, seed, FlowCapacity, "instance-" + std::to_string(m_where.id)},
+              m_log.observer())
 { }
 
 void emulated_instance::start(const std::vector<endpoint> &seeds)
@@ -106,7 +108,7 @@
     m_forwarder.tick(now);
     std::erase_if(m_openingPackets,
                   [this](const auto &item) { return !m_forwarder.isOpening(item.first); });
-    m_control.setLoads(m_forwarder.loads(now), now);
+    m_control.setLoads(m_forwarder.loads(now), m_forwarder.demands(), now);
 }
 
 void emulated_instance::onPacket(const caller_packet &packet)
@@ -230,7 +232,7 @@
 void emulated_instance::publish(std::shared_ptr<const directory> known)
 {
     m_knowsDesiredState = true;
-    m_forwarder.adopt(std::move(known));
+    m_forwarder.adopt(std::move(known), m_queue.now());
 }
 
 void emulated_instance::publishPeerView(peer_view view)
@@ -241,9 +243,16 @@
             view.loads.push_back({own.server, 0, 1});
         }
     }
-    m_forwarder.setPeerLoads(view.loads, m_queue.now());
-    m_forwarder.setInstances(omits(omitted_mechanism::SharedColdRate) ? 1 : view.instances);
+    if (omits(omitted_mechanism::SharedColdRate)) {
+        view.instances.clear();
+    }
+    const time_point now = m_queue.now();
     m_forwarder.setSilentDomains(std::move(view.silentDomains));
+    m_forwarder.setSharedLoad(view.shared, now);
+    m_forwarder.setPeerLoads(view.loads, now);
+    m_forwarder.setInstances(std::move(view.instances), now);
+    m_forwarder.setRefusalRound(
+            refusalRound(std::chrono::system_clock::time_point(now.time_since_epoch())));
 }
 
 } // namespace ebonyway
--- a/packages/emulator/emulated_instance_log.h
+++ b/packages/emulator/emulated_instance_log.h
@@ -28,6 +28,8 @@
         void onPlacement(const placement_record &) override { }
         void onRefusal(const refusal_record &) override { }
         void onTrustChange(const trust_change &) override { }
+        void onPaceChange(const pace_change &) override { }
+        void onAdmissionChange(const std::string &, const admission_change &) override { }
         void onOpened(const flow_id &, server_key, duration) override { }
     };
 
--- /dev/null
+++ b/packages/forwarding/connection/deployment_load.cpp
@@ -0,0 +1,137 @@
+#include "forwarding/connection/deployment_load.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace ebonyway {
+
+deployment_load::deployment_load(std::string failureDomain)
+    : m_failureDomain(std::move(failureDomain))
+{ }
+
+void deployment_load::adoptRoutes(const route_table &routes)
+{
+    if (m_routesVersion == routes.version && !m_serviceNames.empty()) {
+        return;
+    }
+    m_routesVersion = routes.version;
+    m_serviceNames.clear();
+    m_priorities.clear();
+    for (const auto &[address, to] : routes.routes) {
+        m_priorities[demandTag(address)] = to.priority;
+        for (const service_share &share : to.shares) {
+            m_serviceNames.try_emplace(demandTag(share.service), share.service);
+        }
+    }
+}
+
+void deployment_load::update(const directory &servers, const server_evidence &evidence,
+                             const shared_load &shared, const std::set<std::string> &silentDomains,
+                             time_point now)
+{
+    adoptRoutes(servers.routes());
+    m_usage.clear();
+    for (const server_usage &usage : shared.servers) {
+        m_usage[usage.server] = usage;
+    }
+    m_reporters = shared.reporters;
+    std::map<std::string, std::vector<domain_demand>> demands;
+    for (const domain_demand &one : shared.demands) {
+        const std::string &service = serviceName(one.demand.service);
+        // A peer may know a later desired state, and the demand of a silent domain is out of date.
+        if (service.empty() || silentDomains.contains(one.failureDomain)) {
+            continue;
+        }
+        demands[service].push_back(one);
+    }
+    m_services.clear();
+    m_admissionInputs.clear();
+    for (const auto &[service, parts] : demands) {
+        addService(service, servers, evidence, parts, silentDomains, now);
+    }
+}
+
+void deployment_load::addService(const std::string &service, const directory &servers,
+                                 const server_evidence &evidence,
+                                 const std::vector<domain_demand> &demands,
+                                 const std::set<std::string> &silentDomains, time_point now)
+{
+    std::map<std::string, domain_room> rooms;
+    double underWay = 0;
+    double usedSlots = 0;
+    double answerSeconds = 0;
+    double answerWeight = 0;
+    for (const auto &[domain, indexes] : servers.candidatesByDomain(service)) {
+        if (silentDomains.contains(domain)) {
+            continue;
+        }
+        double &slots = rooms[domain].slots;
+        for (const std::size_t index : indexes) {
+            const directory_server &server = servers.servers()[index];
+            const server_key key = server.entry.key;
+            if (now < server.coldUntil || evidence.trustIn(key, now) == server_trust::SetAside) {
+                continue;
+            }
+            slots += server.entry.slots;
+            usedSlots += server.entry.slots;
+            if (const server_usage *usage = usageOf(key)) {
+                underWay += usage->underWay;
+                answerSeconds += std::chrono::duration<double>(usage->answerTime).count()
+                                 * usage->answerReporters;
+                answerWeight += usage->answerReporters;
+            }
+        }
+    }
+    admission_input admission;
+    admission.service = demandTag(service);
+    for (const domain_demand &one : demands) {
+        rooms[one.failureDomain].demand += one.demand.underWay;
+        const auto priority = m_priorities.find(one.demand.route);
+        if (priority == m_priorities.end()) {
+            continue;
+        }
+        admission.demands.push_back({one.failureDomain, priority->second, one.demand});
+    }
+    admission.slots = usedSlots;
+    service_room load;
+    for (auto &[domain, room] : rooms) {
+        room.failureDomain = domain;
+        load.domains.push_back(room);
+    }
+    load.shares = domainShares(load.domains, m_failureDomain);
+    load.usual.requestsPerSlot = usedSlots > 0 ? underWay / usedSlots : 0;
+    if (answerWeight > 0) {
+        load.usual.answerTime = std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(answerSeconds / answerWeight));
+    }
+    m_services[service] = std::move(load);
+    m_admissionInputs.push_back(std::move(admission));
+}
+
+const service_room *deployment_load::find(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+duration deployment_load::usualAnswerTime(const std::string &service) const
+{
+    const service_room *load = find(service);
+    return load ? load->usual.answerTime : duration::zero();
+}
+
+const server_usage *deployment_load::usageOf(server_key server) const
+{
+    const auto found = m_usage.find(server);
+    return found == m_usage.end() ? nullptr : &found->second;
+}
+
+const std::string &deployment_load::serviceName(std::uint32_t tag) const
+{
+    static const std::string Unknown;
+    const auto found = m_serviceNames.find(tag);
+    return found == m_serviceNames.end() ? Unknown : found->second;
+}
+
+} // namespace ebonyway
--- /dev/null
+++ b/packages/forwarding/connection/deployment_load.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "forwarding/connection/domain_spread.h"
+#include "forwarding/connection/expected_wait.h"
+#include "forwarding/connection/flow_admission.h"
+#include "forwarding/connection/server_evidence.h"
+#include "forwarding/connection/shared_load.h"
+#include "forwarding/version/directory.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace ebonyway {
+
+/** Load of one service, as placement uses it. */
+struct service_room
+{
+    std::vector<domain_room> domains; ///< Domains in reach with servers or callers of the service.
+    std::vector<double> shares; ///< domainShares() of these domains.
+    usual_queue usual;
+};
+
+/**
+ * Relates the load that the instances share to the services and servers of the directory: the only
+ * reader of shared_load. Placement and admission take their inputs from here.
+ */
+class deployment_load
+{
+public:
+    /** `failureDomain` is the one of this instance. */
+    explicit deployment_load(std::string failureDomain);
+
+    /** Recomputes the load of all services. Call it for each new estimate. */
+    void update(const directory &servers, const server_evidence &evidence,
+                const shared_load &shared, const std::set<std::string> &silentDomains,
+                time_point now);
+
+    /** Returns the load of a service, or nullptr without demand for it. */
+    const service_room *find(const std::string &service) const;
+    /** Returns the usual answer time of a service; zero if unknown. */
+    duration usualAnswerTime(const std::string &service) const;
+
+    /** Returns how peers use the server, or nullptr if no report names it. */
+    const server_usage *usageOf(server_key server) const;
+    /** Returns the number of peers whose reports are included. */
+    std::uint32_t reporters() const { return m_reporters; }
+
+    /** Returns the inputs of flow_admission for all services with demand. */
+    const std::vector<admission_input> &admissionInputs() const { return m_admissionInputs; }
+    /** Returns the name of a service with demand, or an empty text. */
+    const std::string &serviceName(std::uint32_t tag) const;
+
+private:
+    void adoptRoutes(const route_table &routes);
+    void addService(const std::string &service, const directory &servers,
+                    const server_evidence &evidence, const std::vector<domain_demand> &demands,
+                    const std::set<std::string> &silentDomains, time_point now);
+
+    std::string m_failureDomain;
+    std::uint64_t m_routesVersion = 0; ///< Version of the desired state that the tags are from.
+    std::unordered_map<std::uint32_t, std::string> m_serviceNames; ///< By tag.
+    std::unordered_map<std::uint32_t, std::uint32_t> m_priorities; ///< By the tag of the route.
+    std::unordered_map<std::string, service_room> m_services;
+    std::unordered_map<server_key, server_usage> m_usage;
+    std::uint32_t m_reporters = 0;
+    std::vector<admission_input> m_admissionInputs;
+};
+
+} // namespace ebonyway
--- a/packages/forwarding/connection/flow_admission.h
+++ b/packages/forwarding/connection/flow_admission.h
@@ -3,12 +3,16 @@
 #include "core/ip_address.h"
 #include "forwarding/connection/service_demand.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace ebonyway {
 
+/** Returns the number of the minute, in which the same callers are refused by all instances. */
+std::uint64_t refusalRound(std::chrono::system_clock::time_point wallClock);
+
 /** Demand of the callers of one failure domain on one route of a service. */
 struct admission_demand
 {
--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -32,6 +32,9 @@
     std::uint8_t offerCount = 0;
     /** The caller has sent a request and acknowledged no part of the answer. */
     bool requestPending = false;
+    bool hasCarriedRequest = false; ///< The caller has sent a request before.
+    std::uint32_t serviceTag = 0; ///< demandTag() of the service that the flow was placed in.
+    std::uint32_t routeTag = 0; ///< demandTag() of the public address.
     std::optional<std::uint32_t> openingSequence; ///< Of the opening packet, if it passed here.
     std::uint32_t nextSequence = 0; ///< End of the data that the caller has sent.
     std::uint32_t deliveredSequence = 0; ///< The server must have received all data before this.
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -54,15 +54,20 @@
 
 } // namespace
 
-forwarder::forwarder(forwarder_options options, forwarding_observer &observer)
-    : m_placement(std::move(options.failureDomain), options.seed)
+forwarder::forwarder(const forwarder_options &options, forwarding_observer &observer)
+    : m_placement(options.failureDomain, options.seed)
     , m_observer(observer)
     , m_flows(options.flowCapacity)
+    , m_coldStarts(options.instance, options.seed)
+    , m_load(options.failureDomain)
+    , m_admission(options.failureDomain)
+    , m_failureDomain(options.failureDomain)
 { }
 
-void forwarder::adopt(std::shared_ptr<const directory> newDirectory)
+void forwarder::adopt(std::shared_ptr<const directory> newDirectory, time_point now)
 {
     if (m_directory) {
+        beginSlowStarts(*newDirectory, now);
         for (const directory_server &server : newDirectory->servers()) {
             const directory_server *before = m_directory->byKey(server.entry.key);
             if (before && before->entry.startedAt != server.entry.startedAt) {
@@ -75,9 +80,73 @@
     m_evidence.adopt(*m_directory);
 }
 
-void forwarder::setInstances(std::size_t count)
+void forwarder::beginSlowStarts(const directory &newDirectory, time_point now)
 {
-    m_coldStarts.setInstances(count);
+    for (const directory_server &server : newDirectory.servers()) {
+        if (!server.acceptsNewFlows()) {
+            continue;
+        }
+        const server_key key = server.entry.key;
+        const directory_server *before = m_directory->byKey(key);
+        const bool isBack = before && !before->acceptsNewFlows();
+        const bool isColder = before && server.coldUntil > std::max(before->coldUntil, now);
+        if (before && !isBack && !isColder && before->entry.startedAt == server.entry.startedAt) {
+            continue;
+        }
+        // A cold server gets what it bears first; the slow start leads from there to its full
+        // share.
+        m_pace.begin(key, std::max(now, server.coldUntil));
+    }
+    for (const directory_server &server : m_directory->servers()) {
+        if (!newDirectory.byKey(server.entry.key)) {
+            m_pace.forget(server.entry.key);
+        }
+    }
+}
+
+void forwarder::setInstances(std::map<std::string, std::vector<std::string>> instances,
+                             time_point now)
+{
+    m_coldStarts.setInstances(std::move(instances), now);
+}
+
+void forwarder::setSharedLoad(const shared_load &shared, time_point now)
+{
+    if (!m_directory) {
+        return;
+    }
+    m_load.update(*m_directory, m_evidence, shared, m_silentDomains, now);
+    m_admission.update(m_load.admissionInputs(), now);
+    for (const admission_change &change : m_admission.takeChanges()) {
+        m_observer.onAdmissionChange(m_load.serviceName(change.service), change);
+    }
+}
+
+std::vector<service_load_figures> forwarder::serviceLoads() const
+{
+    std::vector<service_load_figures> figures;
+    for (const admission_input &input : m_load.admissionInputs()) {
+        service_load_figures one;
+        one.service = m_load.serviceName(input.service);
+        one.slots = input.slots;
+        one.pressure = m_admission.pressure(input.service);
+        for (const admission_demand &part : input.demands) {
+            const service_demand &demand = part.demand;
+            one.demand += (demand.newFlows + demand.laterRequests)
+                          * std::chrono::duration<double>(demand.workTime).count();
+            one.leastAdmitted =
+                    std::min(one.leastAdmitted, m_admission.share(input.service, demand.route));
+        }
+        if (const service_room *room = m_load.find(one.service)) {
+            for (std::size_t i = 0; i < room->domains.size(); ++i) {
+                if (room->domains[i].failureDomain == m_failureDomain) {
+                    one.ownDomainShare = room->shares[i];
+                }
+            }
+        }
+        figures.push_back(std::move(one));
+    }
+    return figures;
 }
 
 void forwarder::setPeerLoads(const std::vector<peer_server_load> &loads, time_point now)
@@ -91,13 +160,26 @@
         const bool answered = load.answeredAgo < peer_server_load::NeverAnswered;
         m_evidence.setPeerLoad(load.server, load.flowCount, load.suspiciousInstances,
                                answered ? now - load.answeredAgo : time_point{});
+        if (answered && m_pace.share(load.server) < 1) {
+            const server_usage *usage = m_load.usageOf(load.server);
+            m_pace.onPeerAnswer(load.server, now - load.answeredAgo,
+                                usage ? usage->answerTime : duration::zero(),
+                                usualAnswerTime(load.server));
+        }
     }
 }
 
+duration forwarder::usualAnswerTime(server_key server) const
+{
+    const directory_server *found = m_directory ? m_directory->byKey(server) : nullptr;
+    return found ? m_load.usualAnswerTime(found->entry.service) : duration::zero();
+}
+
 void forwarder::setSilentDomains(std::set<std::string> domains)
 {
     m_evidence.setSilentDomains(domains);
-    m_placement.setSilentDomains(std::move(domains));
+    m_placement.setSilentDomains(domains);
+    m_silentDomains = std::move(domains);
 }
 
 std::vector<peer_server_load> forwarder::loads(time_point now) const
@@ -109,10 +191,12 @@
         if (state.openFlows + state.openingFlows == 0 && !answered) {
             continue;
         }
+        const bool hasAnswerTime = now - state.lastAnswerTime < AnswerReportTime;
         loads.push_back({key, state.openFlows + state.openingFlows,
                          m_evidence.confirmsSilence(key, now) ? 1U : 0U,
                          answered ? std::chrono::floor<std::chrono::milliseconds>(answeredAgo)
-                                  : peer_server_load::NeverAnswered});
+                                  : peer_server_load::NeverAnswered,
+                         state.meanBusyFlows, hasAnswerTime ? state.answerTime : duration::zero()});
     }
     return loads;
 }
@@ -176,8 +260,11 @@
         return refuse(packet, forwarding_refusal::NoServerUsable, packet.acknowledged == 0);
     }
     const bool offeredBefore = record && record->offerCount > 0;
-    const auto choice = m_placement.choose(*m_directory, m_evidence, m_coldStarts, *service,
-                                           offeredBefore ? record : nullptr, now);
+    if (packet.acknowledged == 0 && !offeredBefore && isShed(packet, to, *service)) {
+        return refuse(packet, forwarding_refusal::LoadShed, true);
+    }
+    const auto choice =
+            m_placement.choose(inputs(), *service, offeredBefore ? record : nullptr, now);
     if (choice) {
         if (!record) {
             record = m_flows.add(packet.flow, now);
@@ -192,13 +279,27 @@
         // again.
         const directory_server *server = m_directory->byKey(record->server);
         if (server && server->acceptsNewFlows()) {
-            const placement_choice again{server, placement_tier::SetAside, 0.0, 0};
+            const placement_choice again{server, placement_tier::SetAside, 0.0, {}, 0};
             return place(packet.flow, *service, again, packet.acknowledged, record, now);
         }
     }
     return deferOrRefuse(packet, *service, record, now);
 }
 
+bool forwarder::isShed(const flow_packet &packet, const route &to, const std::string &service)
+{
+    const std::uint32_t serviceTag = demandTag(service);
+    const std::uint32_t routeTag = demandTag(packet.flow.service);
+    const bool fits =
+            m_admission.admits(serviceTag, routeTag, packet.flow.caller.address, m_refusalRound);
+    const bool inTime = to.timeout == 0ms || m_admission.expectedDelay(serviceTag) < to.timeout;
+    if (fits && inTime) {
+        return false;
+    }
+    m_meter.onRefused(serviceTag, routeTag);
+    return true;
+}
+
 forward_packet forwarder::place(const flow_id &flow, const std::string &service,
                                 const placement_choice &choice, std::uint32_t copy,
                                 flow_table_entry *record, time_point now)
@@ -211,6 +312,12 @@
         m_coldStarts.spend(key, hasLimits ? limits->second.coldRequestsPerSecond : 0.0, now);
     }
     if (record) {
+        if (record->offerCount == 0) {
+            record->serviceTag = demandTag(service);
+            record->routeTag = demandTag(flow.service);
+            m_meter.onNewFlow(record->serviceTag, record->routeTag,
+                              1 / m_admission.share(record->serviceTag, record->routeTag));
+        }
         record->state = flow_table_entry::phase::Opening;
         record->server = key;
         record->offeredAt = now;
@@ -222,8 +329,8 @@
         m_offers.emplace_back(now, flow);
     }
     m_observer.onPlacement({flow, service, key, server.entry.address, server.token, choice.tier,
-                            choice.load, choice.candidates, copy, m_directory->serial(),
-                            m_directory->routes().version});
+                            choice.load, choice.wait, choice.candidates, copy,
+                            m_directory->serial(), m_directory->routes().version});
     return forward_packet{key, server.entry.address, server.token};
 }
 
@@ -254,8 +361,7 @@
         if (!service) {
             continue;
         }
-        const auto choice =
-                m_placement.choose(*m_directory, m_evidence, m_coldStarts, *service, record, now);
+        const auto choice = m_placement.choose(inputs(), *service, record, now);
         if (!choice || choice->tier != placement_tier::Warm) {
             continue;
         }
@@ -377,6 +483,13 @@
     record.acknowledged = packet.acknowledged;
     record.nextSequence = packet.sequence;
     record.deliveredSequence = packet.sequence;
+    if (record.serviceTag == 0) {
+        // Another instance has placed the flow.
+        const directory_server *found = m_directory->byKey(server);
+        record.serviceTag = found ? demandTag(found->entry.service) : 0;
+        record.routeTag = demandTag(packet.flow.service);
+        record.hasCarriedRequest = true;
+    }
     m_evidence.addOpenFlows(server, 1);
 }
 
@@ -393,7 +506,9 @@
             record.requestPending = false;
             m_evidence.addBusyFlows(record.server, -1);
             if (isRecent) {
-                m_evidence.onAnswerTime(record.server, now - record.requestedAt);
+                onAnswerTime(record, now);
+            } else {
+                m_meter.onAbandoned(record.serviceTag, record.routeTag);
             }
         }
     }
@@ -423,9 +538,19 @@
         record.requestPending = true;
         record.requestedAt = now;
         m_evidence.addBusyFlows(record.server, 1);
+        m_meter.onRequest(record.serviceTag, record.routeTag,
+                          !std::exchange(record.hasCarriedRequest, true));
     }
 }
 
+void forwarder::onAnswerTime(const flow_table_entry &record, time_point now)
+{
+    const duration length = now - record.requestedAt;
+    m_evidence.onAnswerTime(record.server, length, now);
+    m_meter.onAnswer(record.serviceTag, record.routeTag, length);
+    m_pace.onAnswer(record.server, length, usualAnswerTime(record.server), now);
+}
+
 void forwarder::finish(flow_table_entry &record)
 {
     if (record.state != flow_table_entry::phase::Open) {
@@ -436,6 +561,7 @@
     if (record.requestPending) {
         record.requestPending = false;
         m_evidence.addBusyFlows(record.server, -1);
+        m_meter.onAbandoned(record.serviceTag, record.routeTag);
     }
 }
 
@@ -475,8 +601,20 @@
         finish(record);
     }
     m_coldStarts.removeIdle(now);
+    m_evidence.tick();
+    m_meter.tick([this](std::uint32_t service) { return m_admission.isLightlyLoaded(service); },
+                 now);
     for (const trust_change &change : m_evidence.takeChanges()) {
         m_observer.onTrustChange(change);
+        if (change.setAside) {
+            m_pace.onSilence(change.server, now);
+        } else {
+            m_pace.begin(change.server, now);
+        }
+    }
+    m_pace.tick(now);
+    for (const pace_change &change : m_pace.takeChanges()) {
+        m_observer.onPaceChange(change);
     }
 }
 
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -1,15 +1,21 @@
 #pragma once
 
-#include "forwarding/connection/cold_start_budget.h"
+#include "forwarding/connection/cold_start_quota.h"
+#include "forwarding/connection/demand_meter.h"
+#include "forwarding/connection/deployment_load.h"
+#include "forwarding/connection/flow_admission.h"
 #include "forwarding/connection/flow_table.h"
 #include "forwarding/connection/placement.h"
 #include "forwarding/connection/server_evidence.h"
+#include "forwarding/connection/server_pace.h"
+#include "forwarding/connection/shared_load.h"
 #include "forwarding/request/forwarding_decision.h"
 #include "forwarding/version/directory.h"
 
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -28,6 +34,7 @@
     flow_token token;
     placement_tier tier = placement_tier::Warm;
     double load = 0;
+    duration wait{}; ///< Expected wait for a slot; zero if it was not estimated.
     std::size_t candidates = 0;
     std::uint32_t copy = 0; ///< Number of opening packets that the caller had sent before.
     std::uint64_t directorySerial = 0;
@@ -55,6 +62,9 @@
     virtual void onPlacement(const placement_record &record) = 0;
     virtual void onRefusal(const refusal_record &record) = 0;
     virtual void onTrustChange(const trust_change &change) = 0;
+    virtual void onPaceChange(const pace_change &change) = 0;
+    /** `service` is the name of the service. */
+    virtual void onAdmissionChange(const std::string &service, const admission_change &change) = 0;
     /** Called when a flow opens. `after` is the time since this instance saw its first packet. */
     virtual void onOpened(const flow_id &flow, server_key server, duration after) = 0;
 };
@@ -66,11 +76,15 @@
     std::uint32_t flowCount = 0; ///< Number of open and opening flows.
     std::uint32_t suspiciousInstances = 0; ///< Number of instances that consider the server silent.
     std::chrono::milliseconds answeredAgo = NeverAnswered; ///< Time since the last answer.
+    double underWay = 0; ///< Mean number of unanswered requests, over the last second.
+    duration answerTime{}; ///< Mean answer time of the last two seconds; zero if there is none.
 
     /** Value of answeredAgo if the server has not answered recently. */
     static constexpr std::chrono::milliseconds NeverAnswered{0xffff};
 
-    /** Encodes the load of one instance in 13 bytes. Counts above the range are cut off. */
+    static constexpr double UnderWayScale = 16;
+
+    /** Encodes the load of one instance in 16 bytes. Figures above the range are cut off. */
     template <class Archive>
     void serialize(Archive &archive)
     {
@@ -78,7 +92,12 @@
         auto age = static_cast<std::uint16_t>(std::min(answeredAgo, NeverAnswered).count());
         auto flows = static_cast<std::uint16_t>(std::min(flowCount, MaxCount));
         auto suspicious = static_cast<std::uint8_t>(suspiciousInstances > 0 ? 1 : 0);
-        archive(server, flows, suspicious, age);
+        auto waiting = encodeFigure<std::uint8_t>(underWay, UnderWayScale);
+        auto answer = encodeFigure<std::uint16_t>(
+                std::chrono::duration<double, std::milli>(answerTime).count(), 1);
+        archive(server, flows, suspicious, age, waiting, answer);
+        underWay = waiting / UnderWayScale;
+        answerTime = std::chrono::milliseconds(answer);
         flowCount = flows;
         suspiciousInstances = suspicious;
         answeredAgo = std::chrono::milliseconds(age);
@@ -97,6 +116,18 @@
     std::string failureDomain; ///< Failure domain of this instance.
     std::uint64_t seed = 0;
     std::size_t flowCapacity = 65'536;
+    std::string instance{}; ///< Name of this instance.
+};
+
+/** Load of one service as this instance sees it, for metrics. */
+struct service_load_figures
+{
+    std::string service;
+    double slots = 0; ///< Of the servers in reach that take new flows.
+    double demand = 0; ///< In slots, of all callers.
+    double pressure = 0; ///< Requests under way per slot.
+    double ownDomainShare = 1; ///< Share of new flows that stay in this failure domain.
+    double leastAdmitted = 1; ///< Lowest share of callers let through on any route here.
 };
 
 /**
@@ -107,10 +138,10 @@
 class forwarder
 {
 public:
-    forwarder(forwarder_options options, forwarding_observer &observer);
+    forwarder(const forwarder_options &options, forwarding_observer &observer);
 
     /** Replaces the directory of servers and routes. Open flows keep their servers. */
-    void adopt(std::shared_ptr<const directory> newDirectory);
+    void adopt(std::shared_ptr<const directory> newDirectory, time_point now);
 
     forwarding_decision decide(const flow_packet &packet, time_point now);
 
@@ -124,8 +155,15 @@
      */
     std::vector<further_offer> offerAgain(time_point now);
 
-    /** Sets the number of instances that share the rate limits of cold backend servers. */
-    void setInstances(std::size_t count);
+    /** Sets the names of the known instances, including this one, by failure domain. */
+    void setInstances(std::map<std::string, std::vector<std::string>> instances, time_point now);
+    /** Sets the load that the instances share; placement and admission follow it. */
+    void setSharedLoad(const shared_load &shared, time_point now);
+    /**
+     * Sets the number of the round in which the same callers are refused during an overload. It
+     * must be nearly the same at all instances.
+     */
+    void setRefusalRound(std::uint64_t round) { m_refusalRound = round; }
     /** Sets the load and suspicions that all other instances together report for each server. */
     void setPeerLoads(const std::vector<peer_server_load> &loads, time_point now);
 
@@ -133,6 +171,9 @@
     void setSilentDomains(std::set<std::string> domains);
 
     std::vector<peer_server_load> loads(time_point now) const;
+    /** Returns the demand at this instance, to be reported to the others. */
+    std::vector<service_demand> demands() const { return m_meter.demands(); }
+    std::vector<service_load_figures> serviceLoads() const;
     bool isOpening(const flow_id &flow) const;
     std::size_t flowCount() const { return m_flows.size(); }
     const server_evidence &evidence() const { return m_evidence; }
@@ -150,12 +191,21 @@
     forwarding_decision deferOrRefuse(const flow_packet &packet, const std::string &service,
                                       flow_table_entry *record, time_point now);
 
+    /** Returns the usual answer time of the server's service; zero if unknown. */
+    duration usualAnswerTime(server_key server) const;
+    /** Returns whether admission refuses the new flow; counts it if so. */
+    bool isShed(const flow_packet &packet, const route &to, const std::string &service);
+    placement_inputs inputs() { return {*m_directory, m_evidence, m_load, m_pace, m_coldStarts}; }
+    /** Begins the slow start of servers that were added or have restarted. */
+    void beginSlowStarts(const directory &newDirectory, time_point now);
+
     void trackFlow(const flow_packet &packet, server_key server, time_point now);
     void onFirstPacketAfterOpening(const flow_packet &packet, flow_table_entry &record,
                                    server_key server, time_point now);
     void markOpen(const flow_packet &packet, flow_table_entry &record, server_key server);
     void trackData(const flow_packet &packet, flow_table_entry &record, time_point lastSeen,
                    time_point now);
+    void onAnswerTime(const flow_table_entry &record, time_point now);
     void finish(flow_table_entry &record);
     /** Ends the flow of an entry and prepares it for a new flow from the same port. */
     void reuse(flow_table_entry &record, time_point now);
@@ -165,7 +215,14 @@
     std::shared_ptr<const directory> m_directory;
     flow_table m_flows;
     server_evidence m_evidence;
-    cold_start_budget m_coldStarts;
+    cold_start_quota m_coldStarts;
+    server_pace m_pace;
+    deployment_load m_load;
+    demand_meter m_meter;
+    flow_admission m_admission;
+    std::string m_failureDomain;
+    std::uint64_t m_refusalRound = 0;
+    std::set<std::string> m_silentDomains;
     time_point m_lastOfferCheck;
     time_point m_offerChecksResumeAt;
     /** Offers that were not yet checked for a timeout, oldest first. */
--- a/packages/forwarding/connection/placement.h
+++ b/packages/forwarding/connection/placement.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/seeded_random.h"
-#include "forwarding/connection/cold_start_budget.h"
+#include "forwarding/connection/cold_start_quota.h"
+#include "forwarding/connection/deployment_load.h"
 #include "forwarding/connection/flow_table.h"
 #include "forwarding/connection/server_evidence.h"
+#include "forwarding/connection/server_pace.h"
 #include "forwarding/version/directory.h"
 
 #include <optional>
@@ -15,6 +17,7 @@
 /** How suitable a backend server is for a new flow, best first. */
 enum class placement_tier : std::uint8_t {
     Warm,
+    SlowStart, ///< Recently started or recovered; its share of new flows is used up for now.
     Cold, ///< Recently started; this instance may send another flow now.
     Doubtful, ///< Overdue, on trial, or in a silent failure domain.
     SetAside, ///< Used only if no other server is left.
@@ -29,12 +32,29 @@
     const directory_server *server = nullptr;
     placement_tier tier = placement_tier::Warm;
     double load = 0; ///< Estimated number of this instance's active requests per slot.
+    duration wait{}; ///< Expected wait for a slot; zero if it was not estimated.
     std::size_t candidates = 0; ///< Backend servers that could have taken the flow.
 };
 
+/** What placement knows of the backend servers. */
+struct placement_inputs
+{
+    const directory &servers;
+    const server_evidence &evidence;
+    const deployment_load &load;
+    const server_pace &pace;
+    cold_start_quota &coldStarts;
+};
+
 /**
- * Chooses backend servers for new flows: the least loaded server of the best tier. Servers in the
- * instance's own failure domain are preferred, and cold servers are rate limited.
+ * Chooses backend servers for new flows.
+ *
+ * A service with few servers, or without a good one among the sampled ones, gets the server of the
+ * best tier that has the least load from this instance; servers in the own failure domain are
+ * preferred. Otherwise the demand and the room of the failure domains decide on the domain, and of
+ * a few servers there that are drawn at random the one with the least expected wait is chosen. What
+ * is known of other instances' flows is up to two seconds old; random samples keep all instances
+ * from choosing the same server meanwhile.
  */
 class placement
 {
@@ -49,9 +69,7 @@
      * Chooses a backend server of the service, except those that the flow `previous` was already
      * offered to (nullptr for none). Returns nothing if no server can take the flow.
      */
-    std::optional<placement_choice> choose(const directory &serverDirectory,
-                                           const server_evidence &evidence,
-                                           const cold_start_budget &coldStarts,
+    std::optional<placement_choice> choose(const placement_inputs &inputs,
                                            const std::string &service,
                                            const flow_table_entry *previous, time_point now);
 
@@ -59,7 +77,31 @@
     const std::string *chooseService(const route &from);
 
 private:
+    /** Limits of a service that bind each of its servers. */
+    struct server_limits
+    {
+        double coldRate = 0; ///< Requests per second of a cold server.
+        std::uint32_t maxConnections = 0; ///< Zero means unlimited.
+        bool isQueueing = false; ///< Requests of the service wait for slots.
+    };
+
+    std::optional<placement_choice> chooseFromAll(const placement_inputs &inputs,
+                                                  const std::string &service,
+                                                  const server_limits &limits,
+                                                  const flow_table_entry *previous, time_point now);
+    std::optional<placement_choice>
+    chooseFromSample(const placement_inputs &inputs, const std::string &service,
+                     const server_limits &limits, const flow_table_entry *previous, time_point now);
+    /** Draws the failure domain for a new flow by the shares of the domains. */
+    const std::string &drawDomain(const service_room *room);
+    /** Returns the tier of a server, or nothing if it cannot take the flow. */
+    std::optional<placement_tier> tierOf(const placement_inputs &inputs,
+                                         const directory_server &server,
+                                         const server_limits &limits,
+                                         const flow_table_entry *previous, time_point now);
     double loadOf(const directory_server &server, const server_condition &state) const;
+    server_queue queueOf(const deployment_load &load, const directory_server &server,
+                         const server_condition &state) const;
 
     std::string m_failureDomain;
     std::set<std::string> m_silentDomains;
--- a/packages/forwarding/connection/server_condition.h
+++ b/packages/forwarding/connection/server_condition.h
@@ -14,6 +14,9 @@
     std::uint32_t openingFlows = 0; ///< Flows offered and not yet opened.
     std::uint32_t openFlows = 0; ///< Flows that have opened and not ended.
     std::uint32_t busyFlows = 0; ///< Open flows with a request that is not answered yet.
+    double meanBusyFlows = 0; ///< Busy flows, smoothed over about a second.
+    duration answerTime{}; ///< Smoothed answer time of requests; see lastAnswerTime.
+    time_point lastAnswerTime; ///< When answerTime was last updated.
     std::uint32_t silences = 0; ///< Consecutive unanswered offers.
     std::uint32_t failures = 0; ///< Consecutive periods for which the server was set aside.
     std::uint32_t suspicions = 0; ///< Missing responses since the last progress.
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -59,6 +59,14 @@
 // goals.
 constexpr duration MaxContradictionTime = 1500ms;
 
+// Gain of the mean number of busy flows for each tick of 200 ms: a mean of about a second, long
+// enough that a report which is a second old still describes the server.
+constexpr double BusyFlowsGain = 0.2;
+
+// Time without an answer after which the mean answer time of a server begins anew, so that a server
+// that has recovered is not judged by its past.
+constexpr duration AnswerTimeLifetime = 2s;
+
 // Callers retransmit an opening packet after this time; a later answer counts as missing.
 constexpr duration CallerRetransmissionTime = 200ms;
 
@@ -360,14 +368,24 @@
     return found == m_answerTimes.end() ? duration::zero() : found->second.upperBound();
 }
 
-void server_evidence::onAnswerTime(server_key server, duration length)
+void server_evidence::onAnswerTime(server_key server, duration length, time_point now)
 {
+    server_condition &state = m_conditions[server];
+    const bool isFirst = now - std::exchange(state.lastAnswerTime, now) > AnswerTimeLifetime;
+    state.answerTime = isFirst ? length : state.answerTime + (length - state.answerTime) / 4;
     const auto where = m_locations.find(server);
     if (where != m_locations.end()) {
         m_answerTimes[where->second.service].add(length);
     }
 }
 
+void server_evidence::tick()
+{
+    for (auto &[key, state] : m_conditions) {
+        state.meanBusyFlows += (state.busyFlows - state.meanBusyFlows) * BusyFlowsGain;
+    }
+}
+
 void server_evidence::setPeerLoad(server_key server, std::uint64_t flowCount,
                                   std::uint32_t suspiciousInstances, time_point answeredAt)
 {
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -82,7 +82,9 @@
     /** A caller has retransmitted a packet of an open flow. */
     void onRetransmission(server_key server, time_point now);
     /** The server took this long to answer a request of an open flow. */
-    void onAnswerTime(server_key server, duration length);
+    void onAnswerTime(server_key server, duration length, time_point now);
+    /** Updates the mean number of busy flows of each server; call it every 200 ms. */
+    void tick();
     /**
      * An offer has expired unanswered. The offer counts as unanswered only if the server has
      * answered no caller since the offer. It raises no suspicion: it is seconds old and does not
--- a/packages/forwarding/edge/decision_log.cpp
+++ b/packages/forwarding/edge/decision_log.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <utility>
 
 namespace ebonyway {
 
@@ -24,6 +25,15 @@
     return text;
 }
 
+namespace {
+
+std::int64_t millisOf(duration length)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+} // namespace
+
 decision_log::decision_log(event_log &log, forwarding_counters &counters, metrics_registry &metrics)
     : m_log(log)
     , m_counters(counters)
@@ -42,6 +52,7 @@
                   {"token", tokenText(record.token)},
                   {"tier", std::string(placementTierName(record.tier))},
                   {"load", record.load},
+                  {"wait_ms", millisOf(record.wait)},
                   {"candidates", std::uint64_t{record.candidates}},
                   {"copy", std::uint64_t{record.copy}},
                   {"directory", record.directorySerial},
@@ -72,6 +83,39 @@
                   {"suspicions", std::uint64_t{change.suspicions}}}});
 }
 
+void decision_log::onPaceChange(const pace_change &change)
+{
+    m_log.write({log_level::Info,
+                 "backend_server_pace",
+                 {{"backend_server", serverText(change.server)},
+                  {"share", change.share},
+                  {"since_ms", millisOf(change.since)}}});
+}
+
+void decision_log::onAdmissionChange(const std::string &service, const admission_change &change)
+{
+    m_log.write({log_level::Warn,
+                 change.shedding ? "load_shedding_started" : "load_shedding_ended",
+                 {{"service", service},
+                  {"demand_slots", change.demand},
+                  {"slots", change.slots},
+                  {"pressure", change.pressure}}});
+}
+
+void decision_log::onServiceLoads(const std::vector<service_load_figures> &loads)
+{
+    std::vector<metric_sample> gauges;
+    for (const service_load_figures &one : loads) {
+        const std::vector<metric_label> labels{{"service", one.service}};
+        gauges.push_back({"service_slots", labels, one.slots});
+        gauges.push_back({"service_demand_slots", labels, one.demand});
+        gauges.push_back({"service_pressure", labels, one.pressure});
+        gauges.push_back({"service_own_domain_share", labels, one.ownDomainShare});
+        gauges.push_back({"service_least_admitted_share", labels, one.leastAdmitted});
+    }
+    m_counters.setGauges(std::move(gauges));
+}
+
 void decision_log::onOpened(const flow_id &, server_key, duration after)
 {
     ++m_counters.openedFlows;
--- a/packages/forwarding/edge/decision_log.h
+++ b/packages/forwarding/edge/decision_log.h
@@ -6,6 +6,7 @@
 #include "telemetry/metrics.h"
 
 #include <string>
+#include <vector>
 
 namespace ebonyway {
 
@@ -18,8 +19,13 @@
     void onPlacement(const placement_record &record) override;
     void onRefusal(const refusal_record &record) override;
     void onTrustChange(const trust_change &change) override;
+    void onPaceChange(const pace_change &change) override;
+    void onAdmissionChange(const std::string &service, const admission_change &change) override;
     void onOpened(const flow_id &flow, server_key server, duration after) override;
 
+    /** Replaces the gauges of the services' load. */
+    void onServiceLoads(const std::vector<service_load_figures> &loads);
+
 private:
     event_log &m_log;
     forwarding_counters &m_counters;
--- a/packages/forwarding/edge/forwarding_counters.cpp
+++ b/packages/forwarding/edge/forwarding_counters.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/edge/forwarding_counters.h"
 
+#include <utility>
+
 namespace ebonyway {
 
 namespace {
@@ -29,6 +31,14 @@
         append(samples, "resets_total", resets[i], {{"reason", reason}});
         append(samples, "drops_total", drops[i], {{"reason", reason}});
     }
+    const std::lock_guard<std::mutex> lock(m_gaugesMutex);
+    samples.insert(samples.end(), m_gauges.begin(), m_gauges.end());
+}
+
+void forwarding_counters::setGauges(std::vector<metric_sample> gauges)
+{
+    const std::lock_guard<std::mutex> lock(m_gaugesMutex);
+    m_gauges = std::move(gauges);
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -82,11 +82,14 @@
                      [this](const std::string &path) { return knowledgePage(path); })
     , m_traffic(adapter,
                 forwarder_options{m_options.failureDomain, makeSeed(m_options.instance),
-                                  m_options.flowCapacity},
-                m_log, m_metrics, [this](std::vector<peer_server_load> loads) {
-                    m_controlThread.post([this, loads = std::move(loads)] {
-                        m_instanceControl.setLoads(loads, std::chrono::steady_clock::now());
-                    });
+                                  m_options.flowCapacity, m_options.instance},
+                m_log, m_metrics,
+                [this](std::vector<peer_server_load> loads, std::vector<service_demand> demands) {
+                    m_controlThread.post(
+                            [this, loads = std::move(loads), demands = std::move(demands)] {
+                                m_instanceControl.setLoads(loads, demands,
+                                                           std::chrono::steady_clock::now());
+                            });
                 })
 {
     m_store = m_adapter.connectStore(m_controlThread.loop(), m_options.store,
@@ -301,6 +304,9 @@
                        {},
                        static_cast<double>(m_instanceControl.peers().knownInstanceCount(
                                std::chrono::steady_clock::now()))});
+    samples.push_back({"load_report_entries_ignored_total",
+                       {},
+                       static_cast<double>(m_instanceControl.reports().ignoredEntries())});
     samples.push_back({"store_calls_total", {}, static_cast<double>(m_store->callCount())});
     samples.push_back({"desired_version",
                        {},
--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -47,15 +47,20 @@
 
 void traffic_loop::adopt(std::shared_ptr<const directory> snapshot)
 {
-    m_thread.post([this, snapshot = std::move(snapshot)] { m_forwarder.adopt(snapshot); });
+    m_thread.post([this, snapshot = std::move(snapshot)] {
+        m_forwarder.adopt(snapshot, std::chrono::steady_clock::now());
+    });
 }
 
 void traffic_loop::setPeerView(peer_view view)
 {
     m_thread.post([this, view = std::move(view)] {
-        m_forwarder.setPeerLoads(view.loads, std::chrono::steady_clock::now());
-        m_forwarder.setInstances(view.instances);
+        const time_point now = std::chrono::steady_clock::now();
         m_forwarder.setSilentDomains(view.silentDomains);
+        m_forwarder.setSharedLoad(view.shared, now);
+        m_forwarder.setPeerLoads(view.loads, now);
+        m_forwarder.setInstances(view.instances, now);
+        m_decisions.onServiceLoads(m_forwarder.serviceLoads());
     });
 }
 
@@ -126,7 +131,8 @@
     std::erase_if(m_openingPackets,
                   [this](const auto &item) { return !m_forwarder.isOpening(item.first); });
     m_counters.trackedFlows = m_forwarder.flowCount();
-    m_onLoads(m_forwarder.loads(now));
+    m_forwarder.setRefusalRound(refusalRound(std::chrono::system_clock::now()));
+    m_onLoads(m_forwarder.loads(now), m_forwarder.demands());
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/edge/traffic_loop.h
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -20,8 +20,9 @@
 class traffic_loop : private datagram_receiver
 {
 public:
-    /** Called on the traffic thread with this instance's load on each backend server. */
-    using load_handler = std::function<void(std::vector<peer_server_load>)>;
+    /** Called on the traffic thread with the load on each server and the callers' demand. */
+    using load_handler =
+            std::function<void(std::vector<peer_server_load>, std::vector<service_demand>)>;
 
     traffic_loop(const deployment_adapter &adapter, forwarder_options options, event_log &log,
                  metrics_registry &metrics, load_handler onLoads);
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -51,6 +51,7 @@
     , m_peers({identity.name, identity.failureDomain, identity.peers, identity.boot, 0, false,
                false},
               identity.seed)
+    , m_reports(identity.name)
     , m_startup(identity.isFirstStart)
     , m_stop(times.stopGrace)
     , m_peerAddress(identity.peers)
@@ -97,8 +98,13 @@
     m_nextHeartbeat = now + HeartbeatInterval;
     sendHeartbeat(false, now);
     checkReachability(now);
+    const auto instances = m_peers.knownInstances(now);
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[domain, names] : instances) {
+        counts[domain] = names.size();
+    }
     m_port.publishPeerView(
-            {m_peers.peerLoads(now), m_peers.knownInstanceCount(now), m_silentDomains});
+            {m_peers.peerLoads(now), instances, m_silentDomains, m_reports.estimate(counts, now)});
 }
 
 void instance_control::updateReading(time_point now)
@@ -125,7 +131,7 @@
         // The receiver expects ages relative to the time the message is sent.
         load.answeredAgo += std::chrono::floor<std::chrono::milliseconds>(now - m_loadsAt);
     }
-    peer_message message = m_peers.heartbeat(m_knowledge.positions(), std::move(loads));
+    peer_message message = m_peers.heartbeat(m_knowledge.positions(), std::move(loads), m_demands);
     if (!targets.near.empty()) {
         m_port.sendHeartbeat(message, targets.near);
     }
@@ -135,15 +141,23 @@
     }
 }
 
-void instance_control::setLoads(std::vector<peer_server_load> loads, time_point now)
+void instance_control::setLoads(std::vector<peer_server_load> loads,
+                                std::vector<service_demand> demands, time_point now)
 {
     m_loads = std::move(loads);
+    m_demands = std::move(demands);
     m_loadsAt = now;
+    m_reports.add(m_peers.self(), m_loads, m_demands, now);
 }
 
 void instance_control::onPeerMessage(const peer_message &message, time_point now)
 {
     m_peers.onMessage(message, now);
+    if (message.sender.isLeaving) {
+        m_reports.remove(message.sender.name);
+    } else {
+        m_reports.add(message.sender, message.loads, message.demands, now);
+    }
     pullKnowledge(now);
     const bool senderKnowsNothing = message.positions == known_positions{};
     if (m_snapshot && senderKnowsNothing && message.sender.address != m_peerAddress) {
--- a/packages/forwarding/process/instance_control.h
+++ b/packages/forwarding/process/instance_control.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "forwarding/connection/shared_load.h"
+#include "forwarding/process/load_reports.h"
 #include "forwarding/process/peer_directory.h"
 #include "forwarding/process/planned_stop.h"
 #include "forwarding/process/startup_plan.h"
@@ -7,6 +9,7 @@
 #include "forwarding/version/directory_builder.h"
 #include "telemetry/event_log.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -20,8 +23,10 @@
 struct peer_view
 {
     std::vector<peer_server_load> loads; ///< Summed over all live peers.
-    std::size_t instances = 1; ///< Instances that share the rate limits of cold servers.
+    /** Names of the known instances by failure domain; they share the rates of cold servers. */
+    std::map<std::string, std::vector<std::string>> instances;
     std::set<std::string> silentDomains;
+    shared_load shared;
 };
 
 /** Performs the I/O that instance_control requests. */
@@ -82,8 +87,9 @@
     /** Handles the result of a pull from the instance at `from`. */
     void onKnowledge(const endpoint &from, const result<exported_knowledge> &outcome,
                      time_point now);
-    /** Sets the load that this instance puts on each backend server. */
-    void setLoads(std::vector<peer_server_load> loads, time_point now);
+    /** Sets the load that this instance puts on each backend server and its callers' demand. */
+    void setLoads(std::vector<peer_server_load> loads, std::vector<service_demand> demands,
+                  time_point now);
     void setSeeds(const std::vector<endpoint> &seeds) { m_peers.setSeeds(seeds); }
     /** Restarts all store calls after the process was paused, as its connections may be dead. */
     void onPause(time_point now) { m_follower.restartCalls(now); }
@@ -104,6 +110,7 @@
     const directory_builder &knowledge() const { return m_knowledge; }
     const store_follower &follower() const { return m_follower; }
     const peer_directory &peers() const { return m_peers; }
+    const load_reports &reports() const { return m_reports; }
 
 private:
     void tickPeers(time_point now);
@@ -124,11 +131,13 @@
     directory_builder m_knowledge;
     store_follower m_follower;
     peer_directory m_peers;
+    load_reports m_reports;
     startup_plan m_startup;
     planned_stop m_stop;
     endpoint m_peerAddress; ///< At which other instances reach this one.
     std::shared_ptr<const directory> m_snapshot; ///< Last published; null before the first one.
     std::vector<peer_server_load> m_loads;
+    std::vector<service_demand> m_demands;
     time_point m_loadsAt; ///< Time at which m_loads was collected.
     std::set<std::string> m_silentDomains;
     bool m_canServe = true; ///< A usable backend server is in reach, or no domain is silent.
--- a/packages/forwarding/process/peer_directory.cpp
+++ b/packages/forwarding/process/peer_directory.cpp
@@ -114,10 +114,11 @@
 }
 
 peer_message peer_directory::heartbeat(const known_positions &positions,
-                                       std::vector<peer_server_load> loads)
+                                       std::vector<peer_server_load> loads,
+                                       std::vector<service_demand> demands)
 {
     ++m_self.heartbeat;
-    peer_message message{m_self, positions, {}, std::move(loads)};
+    peer_message message{m_self, positions, {}, std::move(loads), std::move(demands)};
     if (m_peers.empty()) {
         return message;
     }
@@ -282,6 +283,18 @@
     return silent;
 }
 
+std::map<std::string, std::vector<std::string>> peer_directory::knownInstances(time_point now) const
+{
+    std::map<std::string, std::vector<std::string>> names;
+    names[m_self.failureDomain].push_back(m_self.name);
+    for (const auto &[name, peer] : m_peers) {
+        if (now - peer.heardAt <= PeerRetention) {
+            names[peer.entry.failureDomain].push_back(name);
+        }
+    }
+    return names;
+}
+
 std::size_t peer_directory::knownInstanceCount(time_point now) const
 {
     std::size_t count = 1;
--- a/packages/forwarding/process/peer_directory.h
+++ b/packages/forwarding/process/peer_directory.h
@@ -44,11 +44,13 @@
     void setSeeds(std::vector<endpoint> seeds);
     void setStoreAnswers(bool answers) { m_self.storeAnswers = answers; }
     void setLeaving() { m_self.isLeaving = true; }
+    const peer_entry &self() const { return m_self; }
 
     void onMessage(const peer_message &message, time_point now);
 
     /** Builds the next heartbeat. */
-    peer_message heartbeat(const known_positions &positions, std::vector<peer_server_load> loads);
+    peer_message heartbeat(const known_positions &positions, std::vector<peer_server_load> loads,
+                           std::vector<service_demand> demands = {});
     /**
      * Returns the recipients of the next heartbeat. After a change, and always if this instance is
      * the store reader, they include all instances of the own failure domain.
@@ -94,6 +96,8 @@
      * are removed.
      */
     std::size_t knownInstanceCount(time_point now) const;
+    /** Returns the names of these instances by failure domain. */
+    std::map<std::string, std::vector<std::string>> knownInstances(time_point now) const;
     /** Returns the load on each backend server, summed over the live peers. */
     std::vector<peer_server_load> peerLoads(time_point now) const;
 
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -39,6 +39,7 @@
     known_positions positions{};
     std::vector<peer_entry> otherPeers; ///< Some of the instances that have contacted the sender.
     std::vector<peer_server_load> loads; ///< Load that the sender puts on backend servers.
+    std::vector<service_demand> demands{}; ///< Demand of the sender's callers, the largest first.
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -46,7 +47,7 @@
         for (store_position &position : positions) {
             archive(position);
         }
-        archive(sender, otherPeers, loads);
+        archive(sender, otherPeers, loads, demands);
     }
 };
 
--- a/packages/forwarding/request/forwarding_decision.cpp
+++ b/packages/forwarding/request/forwarding_decision.cpp
@@ -21,6 +21,8 @@
         return "unknown_token";
     case forwarding_refusal::Malformed:
         return "malformed";
+    case forwarding_refusal::LoadShed:
+        return "load_shed";
     }
     return "malformed";
 }
--- a/packages/forwarding/request/forwarding_decision.h
+++ b/packages/forwarding/request/forwarding_decision.h
@@ -17,6 +17,7 @@
     NotReady, ///< This instance has no desired state yet.
     UnknownToken, ///< No backend server in the directory has the token of the packet.
     Malformed, ///< Callers never send a packet like this.
+    LoadShed, ///< The service cannot serve all that is asked for; see flow_admission.
 };
 
 /** Returns the lower-case name of a reason as it appears in logs and metrics. */
--- a/packages/forwarding/version/directory.cpp
+++ b/packages/forwarding/version/directory.cpp
@@ -76,6 +76,7 @@
         }
         if (server.acceptsNewFlows()) {
             m_candidates[server.entry.service].push_back(i);
+            m_candidatesByDomain[server.entry.service][server.entry.failureDomain].push_back(i);
         }
     }
 }
@@ -99,4 +100,12 @@
     return found == m_candidates.end() ? None : found->second;
 }
 
+const std::map<std::string, std::vector<std::size_t>> &
+directory::candidatesByDomain(const std::string &service) const
+{
+    static const std::map<std::string, std::vector<std::size_t>> None;
+    const auto found = m_candidatesByDomain.find(service);
+    return found == m_candidatesByDomain.end() ? None : found->second;
+}
+
 } // namespace ebonyway
--- a/packages/forwarding/version/directory.h
+++ b/packages/forwarding/version/directory.h
@@ -4,6 +4,7 @@
 #include "forwarding/version/store_objects.h"
 
 #include <array>
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -70,6 +71,9 @@
     const directory_server *byKey(server_key key) const;
     /** Returns the indexes in servers() of the service's servers that accept new flows. */
     const std::vector<std::size_t> &candidates(const std::string &service) const;
+    /** Returns the same indexes by failure domain; domains without such servers are left out. */
+    const std::map<std::string, std::vector<std::size_t>> &
+    candidatesByDomain(const std::string &service) const;
 
 private:
     std::uint64_t m_serial = 0;
@@ -78,6 +82,8 @@
     std::unordered_map<flow_token, std::size_t> m_byToken; ///< Both tokens of each server.
     std::unordered_map<server_key, std::size_t> m_byKey;
     std::unordered_map<std::string, std::vector<std::size_t>> m_candidates;
+    std::unordered_map<std::string, std::map<std::string, std::vector<std::size_t>>>
+            m_candidatesByDomain;
 };
 
 /**
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -18,10 +18,17 @@
     std::vector<placement_record> placements;
     std::vector<refusal_record> refusals;
     std::vector<trust_change> trustChanges;
+    std::vector<pace_change> paceChanges;
+    std::vector<admission_change> admissionChanges;
 
     void onPlacement(const placement_record &record) override { placements.push_back(record); }
     void onRefusal(const refusal_record &record) override { refusals.push_back(record); }
     void onTrustChange(const trust_change &change) override { trustChanges.push_back(change); }
+    void onPaceChange(const pace_change &change) override { paceChanges.push_back(change); }
+    void onAdmissionChange(const std::string &, const admission_change &change) override
+    {
+        admissionChanges.push_back(change);
+    }
     void onOpened(const flow_id &, server_key, duration) override { }
 };
 
@@ -62,7 +69,7 @@
     {
         knowledge.apply(store_kind::BackendServers, samples::deletedServer(key, ++revision), now);
     }
-    void publish() { subject.adopt(knowledge.snapshot()); }
+    void publish() { subject.adopt(knowledge.snapshot(), now); }
 
     flow_packet opening(const endpoint &service, std::uint32_t copy = 0)
     {
@@ -197,7 +204,7 @@
 {
     recording_observer otherObserver;
     forwarder other({"b", 9, 1'024}, otherObserver);
-    other.adopt(knowledge.snapshot());
+    other.adopt(knowledge.snapshot(), now);
     const auto [first, token] = openFlow();
     const auto decision = other.decide(laterPacket(first, token, 1, 100, 1), now);
     CHECK(std::get<forward_packet>(decision).token == token);
@@ -679,7 +686,7 @@
     cold.coldRemaining = 2'000ms;
     applyObject(cold);
     publish();
-    subject.setInstances(4);
+    subject.setInstances({{"a", {"one", "two", "three", "four"}}}, now);
     const std::size_t before = observer.placements.size();
     for (int i = 0; i < 100; ++i) {
         subject.decide(newFlow(), now);
@@ -726,7 +733,7 @@
 TEST_CASE_FIXTURE(forwarder_fixture, "full flow table, new flow, is still forwarded")
 {
     forwarder small({"a", 7, 1}, observer);
-    small.adopt(knowledge.snapshot());
+    small.adopt(knowledge.snapshot(), now);
     CHECK(std::holds_alternative<forward_packet>(small.decide(newFlow(), now)));
     CHECK(std::holds_alternative<forward_packet>(small.decide(newFlow(), now)));
     CHECK(small.flowCount() == 1);
