--- a/packages/emulator/emulated_instance.cpp
+++ b/packages/emulator/emulated_instance.cpp
@@ -244,7 +244,7 @@
         }
     }
     if (omits(omitted_mechanism::SharedColdRate)) {
-        view.instances.clear();
+        view.instances = {{m_where.failureDomain, {"instance-" + std::to_string(m_where.id)}}};
     }
     const time_point now = m_queue.now();
     m_forwarder.setSilentDomains(std::move(view.silentDomains));
--- a/packages/forwarding/connection/cold_start_quota.h
+++ b/packages/forwarding/connection/cold_start_quota.h
@@ -4,9 +4,11 @@
 #include "core/time.h"
 #include "forwarding/request/flow_packet.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace ebonyway {
@@ -33,6 +35,25 @@
 
     /** Removes servers that were not asked about for a while. */
     void removeIdle(time_point now);
+
+private:
+    struct server_quota
+    {
+        std::uint64_t instancesVersion = 0; ///< Of the instances that `senders` was taken from.
+        std::size_t senders = 0; ///< Instances that share the rate; zero if this one may not send.
+        time_point nextAllowed;
+        time_point lastAsked;
+    };
+
+    /** Returns how many instances share the rate of the server, or zero if this one does not. */
+    std::size_t sendersOf(server_key server, const std::string &failureDomain) const;
+
+    std::string m_instance;
+    seeded_random m_random;
+    std::map<std::string, std::vector<std::string>> m_instances;
+    std::uint64_t m_instancesVersion = 0;
+    time_point m_knownSince; ///< When instances were first set.
+    std::unordered_map<server_key, server_quota> m_servers;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/demand_meter.h
+++ b/packages/forwarding/connection/demand_meter.h
@@ -2,9 +2,10 @@
 
 #include "forwarding/connection/service_demand.h"
 
-#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -40,6 +41,25 @@
 
     /** Returns the demands, the largest first. Demands that have ceased are left out. */
     std::vector<service_demand> demands() const;
+
+private:
+    struct meter
+    {
+        // Since the last tick.
+        double newFlows = 0;
+        std::uint32_t laterRequests = 0;
+        std::uint32_t refused = 0;
+
+        std::uint32_t pending = 0; ///< Requests that wait for their answers now.
+        service_demand smoothed;
+    };
+
+    meter *find(std::uint32_t service, std::uint32_t route);
+
+    std::map<std::pair<std::uint32_t, std::uint32_t>, meter> m_meters; ///< By service and route.
+    time_point m_lastTick;
+    /** Services whose answer times show the work time, as of the last tick. */
+    std::set<std::uint32_t> m_lightlyLoaded;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/expected_wait.h
+++ b/packages/forwarding/connection/expected_wait.h
@@ -24,7 +24,10 @@
     duration answerTime{}; ///< Zero if unknown; speeds then count as equal.
 };
 
-/** Returns the expected time until the server begins to work on a new request. */
+/**
+ * Returns the expected time until the server has answered a new request: the requests before it and
+ * its own work.
+ */
 duration expectedWait(const server_queue &server, const usual_queue &usual);
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/flow_admission.cpp
+++ b/packages/forwarding/connection/flow_admission.cpp
@@ -1,7 +1,65 @@
 #include "forwarding/connection/flow_admission.h"
 
+#include "forwarding/connection/admission_shares.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
 namespace ebonyway {
 
+namespace {
+
+using namespace std::chrono_literals;
+
+// Requests under way per slot. With one per slot there is work for all slots; below RoomPressure
+// some are idle, so nothing is refused. Between the two, shedding continues once it has begun.
+constexpr double BusyPressure = 1.0;
+constexpr double RoomPressure = 0.8;
+
+// Requests per slot above which the servers' queues are long and servers are likely to reject
+// requests, so more has to be refused than the model says.
+constexpr double QueuePressure = 3.0;
+
+// Requests per slot up to which answer times show the work time: few requests wait for a slot.
+constexpr double LightPressure = 0.6;
+
+// Bounds of the factor that corrects the capacity, and its change per second. It changes slowly
+// compared with the age of the reports, about a second, so that it does not oscillate.
+constexpr double MinCapacityFactor = 0.5;
+constexpr double MaxCapacityFactor = 1.5;
+constexpr double CapacityDecrease = 0.1;
+constexpr double CapacityIncrease = 0.2;
+
+// Longest time between two updates to reckon with; after a longer one the instance was paused.
+constexpr std::chrono::duration<double> MaxElapsed = 1s;
+
+double seconds(duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+/** Returns the mean work time of the demands that have one, weighted by their requests. */
+duration meanWorkTime(const admission_input &input)
+{
+    double sum = 0;
+    double weight = 0;
+    for (const admission_demand &one : input.demands) {
+        if (one.demand.workTime == duration::zero()) {
+            continue;
+        }
+        const double requests = one.demand.newFlows + one.demand.laterRequests;
+        sum += requests * seconds(one.demand.workTime);
+        weight += requests;
+    }
+    return weight > 0 ? std::chrono::duration_cast<duration>(
+                   std::chrono::duration<double>(sum / weight))
+                      : duration::zero();
+}
+
+} // namespace
+
 std::uint64_t refusalRound(std::chrono::system_clock::time_point wallClock)
 {
     const auto minutes =
@@ -9,33 +67,127 @@
     return static_cast<std::uint64_t>(minutes.count());
 }
 
-flow_admission::flow_admission(std::string)
-{ }
-void flow_admission::update(const std::vector<admission_input> &, time_point)
+flow_admission::flow_admission(std::string failureDomain)
+    : m_failureDomain(std::move(failureDomain))
 { }
-double flow_admission::share(std::uint32_t, std::uint32_t) const
+
+void flow_admission::update(const std::vector<admission_input> &services, time_point now)
+{
+    const duration elapsed = now - std::exchange(m_lastUpdate, now);
+    std::unordered_map<std::uint32_t, service_state> before = std::exchange(m_services, {});
+    for (const admission_input &input : services) {
+        m_services[input.service] = std::move(before[input.service]);
+        updateService(input, elapsed);
+    }
+}
+
+void flow_admission::updateCapacity(service_state &state, duration elapsed) const
+{
+    const double time = std::min(std::chrono::duration<double>(elapsed), MaxElapsed).count();
+    double &factor = state.capacityFactor;
+    if (!state.shedding) {
+        factor += std::clamp(1 - factor, -CapacityDecrease * time, CapacityDecrease * time);
+        return;
+    }
+    if (state.pressure > QueuePressure) {
+        factor -= CapacityDecrease * time;
+    } else if (state.pressure < BusyPressure) {
+        factor += CapacityIncrease * time;
+    }
+    factor = std::clamp(factor, MinCapacityFactor, MaxCapacityFactor);
+}
+
+void flow_admission::updateService(const admission_input &input, duration elapsed)
+{
+    service_state &state = m_services[input.service];
+    double underWay = 0;
+    for (const admission_demand &one : input.demands) {
+        underWay += one.demand.underWay;
+    }
+    state.pressure = input.slots > 0 ? underWay / input.slots : 0;
+    state.workTime = meanWorkTime(input);
+    updateCapacity(state, elapsed);
+    std::vector<admission_group> groups;
+    double demand = 0;
+    for (const admission_demand &one : input.demands) {
+        const duration known = one.demand.workTime;
+        const double work = seconds(known > duration::zero() ? known : state.workTime);
+        groups.push_back(
+                {one.priority, one.demand.newFlows * work, one.demand.laterRequests * work});
+        demand += groups.back().newFlows + groups.back().openFlows;
+    }
+    const double capacity = input.slots * state.capacityFactor;
+    const double threshold = state.shedding ? RoomPressure : BusyPressure;
+    const bool sheds = input.slots > 0 && demand > capacity && state.pressure > threshold;
+    if (sheds != state.shedding) {
+        state.shedding = sheds;
+        m_changes.push_back({input.service, sheds, demand, input.slots, state.pressure});
+    }
+    state.shares.clear();
+    if (!sheds) {
+        return;
+    }
+    const std::vector<double> shares = admissionShares(groups, capacity);
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        if (input.demands[i].failureDomain == m_failureDomain) {
+            state.shares[input.demands[i].demand.route] = shares[i];
+        }
+    }
+}
+
+const flow_admission::service_state *flow_admission::find(std::uint32_t service) const
 {
-    return 1;
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second;
 }
-bool flow_admission::admits(std::uint32_t, std::uint32_t, const ip_address &, std::uint64_t) const
+
+double flow_admission::share(std::uint32_t service, std::uint32_t route) const
 {
-    return true;
+    const service_state *state = find(service);
+    if (!state) {
+        return 1;
+    }
+    const auto found = state->shares.find(route);
+    return found == state->shares.end() ? 1 : found->second;
 }
-double flow_admission::pressure(std::uint32_t) const
+
+bool flow_admission::admits(std::uint32_t service, std::uint32_t route, const ip_address &caller,
+                            std::uint64_t round) const
 {
-    return 0;
+    const double admitted = share(service, route);
+    if (admitted >= 1) {
+        return true;
+    }
+    // The port is left out: a caller that tries again uses another one.
+    const std::uint64_t hash =
+            XXH3_64bits_withSeed(caller.bytes.data(), caller.bytes.size(), (round << 32) ^ route);
+    return static_cast<double>(hash >> 11) * 0x1p-53 < admitted;
 }
-duration flow_admission::expectedDelay(std::uint32_t) const
+
+double flow_admission::pressure(std::uint32_t service) const
 {
-    return {};
+    const service_state *state = find(service);
+    return state ? state->pressure : 0;
 }
-bool flow_admission::isLightlyLoaded(std::uint32_t) const
+
+duration flow_admission::expectedDelay(std::uint32_t service) const
 {
-    return true;
+    const service_state *state = find(service);
+    if (!state || state->pressure <= BusyPressure) {
+        return duration::zero();
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(state->workTime)
+                                                * (state->pressure - BusyPressure));
 }
+
+bool flow_admission::isLightlyLoaded(std::uint32_t service) const
+{
+    return pressure(service) < LightPressure;
+}
+
 std::vector<admission_change> flow_admission::takeChanges()
 {
-    return {};
+    return std::exchange(m_changes, {});
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/flow_admission.h
+++ b/packages/forwarding/connection/flow_admission.h
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace ebonyway {
@@ -71,6 +73,26 @@
 
     /** Returns and clears the changes since the last call. */
     std::vector<admission_change> takeChanges();
+
+private:
+    struct service_state
+    {
+        double pressure = 0;
+        duration workTime{};
+        bool shedding = false;
+        /** Corrects the capacity that the slots and the work time suggest. */
+        double capacityFactor = 1;
+        std::map<std::uint32_t, double> shares; ///< Of this domain's callers, by route.
+    };
+
+    void updateService(const admission_input &input, duration elapsed);
+    void updateCapacity(service_state &state, duration elapsed) const;
+    const service_state *find(std::uint32_t service) const;
+
+    std::string m_failureDomain;
+    time_point m_lastUpdate;
+    std::unordered_map<std::uint32_t, service_state> m_services;
+    std::vector<admission_change> m_changes;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -608,7 +608,7 @@
         m_observer.onTrustChange(change);
         if (change.setAside) {
             m_pace.onSilence(change.server, now);
-        } else {
+        } else if (!change.answeredOthers) {
             m_pace.begin(change.server, now);
         }
     }
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -34,7 +34,7 @@
     flow_token token;
     placement_tier tier = placement_tier::Warm;
     double load = 0;
-    duration wait{}; ///< Expected wait for a slot; zero if it was not estimated.
+    duration wait{}; ///< Expected time until an answer; zero if it was not estimated.
     std::size_t candidates = 0;
     std::uint32_t copy = 0; ///< Number of opening packets that the caller had sent before.
     std::uint64_t directorySerial = 0;
--- a/packages/forwarding/connection/placement.h
+++ b/packages/forwarding/connection/placement.h
@@ -32,7 +32,7 @@
     const directory_server *server = nullptr;
     placement_tier tier = placement_tier::Warm;
     double load = 0; ///< Estimated number of this instance's active requests per slot.
-    duration wait{}; ///< Expected wait for a slot; zero if it was not estimated.
+    duration wait{}; ///< Expected time until an answer; zero if it was not estimated.
     std::size_t candidates = 0; ///< Backend servers that could have taken the flow.
 };
 
--- a/packages/forwarding/connection/server_condition.h
+++ b/packages/forwarding/connection/server_condition.h
@@ -25,6 +25,7 @@
     /** When the oldest unanswered offer was made, or the time of the last progress if later. */
     std::optional<time_point> oldestOffer;
     std::optional<time_point> setAsideUntil;
+    time_point setAsideAt; ///< If setAsideUntil is set: when the server was first set aside.
     bool trialUnderWay = false; ///< A flow tests the server after its set-aside period.
     time_point lastAnswer; ///< When a caller's packet last acknowledged an answer of the server.
     std::uint64_t peerFlows = 0; ///< Open and opening flows reported by other instances.
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -146,7 +146,7 @@
         state.setAsideUntil.reset();
         state.failures = 0;
         state.trialUnderWay = false;
-        m_changes.push_back({server, false, 0, 0});
+        m_changes.push_back({server, false, 0, 0, state.lastPeerAnswer > state.setAsideAt});
     }
 }
 
@@ -243,7 +243,8 @@
     ++state.failures;
     state.trialUnderWay = false;
     if (isNew) {
-        m_changes.push_back({server, true, state.silences, state.suspicions});
+        state.setAsideAt = now;
+        m_changes.push_back({server, true, state.silences, state.suspicions, false});
     }
 }
 
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -43,6 +43,8 @@
     bool setAside = false; ///< False if the server answers again.
     std::uint32_t silences = 0; ///< Consecutive unanswered offers.
     std::uint32_t suspicions = 0; ///< Missing responses since the last progress.
+    /** If it answers again: it has answered other instances meanwhile, so it was never away. */
+    bool answeredOthers = false;
 };
 
 /**
--- a/packages/forwarding/connection/server_pace.cpp
+++ b/packages/forwarding/connection/server_pace.cpp
@@ -1,26 +1,103 @@
 #include "forwarding/connection/server_pace.h"
 
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
 namespace ebonyway {
 
-void server_pace::begin(server_key, time_point)
-{ }
-void server_pace::onAnswer(server_key, duration, duration, time_point)
-{ }
-void server_pace::onSilence(server_key, time_point)
-{ }
-void server_pace::onPeerAnswer(server_key, time_point, duration, duration)
-{ }
-void server_pace::forget(server_key)
-{ }
-void server_pace::tick(time_point)
-{ }
-double server_pace::share(server_key) const
-{
-    return 1;
+namespace {
+
+using namespace std::chrono_literals;
+
+// Share at the beginning of a slow start; three doublings lead to the full share.
+constexpr double FirstShare = 0.125;
+
+// Time between two steps: some answer times of usual services, and the interval at which the
+// figures of other instances arrive.
+constexpr duration StepInterval = 200ms;
+
+// Answer time relative to the usual one above which the share is reduced. Requests that happen to
+// wait for one other take twice as long.
+constexpr double MaxRelativeTime = 2;
+
+} // namespace
+
+void server_pace::begin(server_key server, time_point now)
+{
+    m_slowStarts[server] = slow_start{FirstShare, now, now, 0, {}, {}};
+    m_changes.push_back({server, FirstShare, {}});
+}
+
+void server_pace::addAnswer(slow_start &state, duration time, duration usual)
+{
+    ++state.answers;
+    if (time > 0ns && usual > 0ns) {
+        state.answerTime += time;
+        state.usualTime += usual;
+    }
+}
+
+void server_pace::onAnswer(server_key server, duration time, duration usual, time_point now)
+{
+    const auto found = m_slowStarts.find(server);
+    if (found != m_slowStarts.end() && now >= found->second.beganAt) {
+        addAnswer(found->second, time, usual);
+    }
+}
+
+void server_pace::onSilence(server_key server, time_point now)
+{
+    if (m_slowStarts.contains(server)) {
+        begin(server, now);
+    }
+}
+
+void server_pace::onPeerAnswer(server_key server, time_point at, duration time, duration usual)
+{
+    const auto found = m_slowStarts.find(server);
+    // Reports repeat the last answer; only answers since the last step count.
+    if (found != m_slowStarts.end() && at > found->second.lastStep) {
+        addAnswer(found->second, time, usual);
+    }
+}
+
+void server_pace::forget(server_key server)
+{
+    m_slowStarts.erase(server);
 }
+
+void server_pace::tick(time_point now)
+{
+    std::vector<server_key> finished;
+    for (auto &[server, state] : m_slowStarts) {
+        if (now < state.beganAt || now - state.lastStep < StepInterval || state.answers == 0) {
+            continue;
+        }
+        const bool isSlow = state.answerTime > state.usualTime * MaxRelativeTime;
+        state.share = isSlow ? std::max(FirstShare, state.share / 2) : state.share * 2;
+        state.lastStep = now;
+        state.answers = 0;
+        state.answerTime = state.usualTime = 0ns;
+        if (state.share >= 1) {
+            m_changes.push_back({server, 1, now - state.beganAt});
+            finished.push_back(server);
+        }
+    }
+    for (const server_key server : finished) {
+        m_slowStarts.erase(server);
+    }
+}
+
+double server_pace::share(server_key server) const
+{
+    const auto found = m_slowStarts.find(server);
+    return found == m_slowStarts.end() ? 1 : found->second.share;
+}
+
 std::vector<pace_change> server_pace::takeChanges()
 {
-    return {};
+    return std::exchange(m_changes, {});
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/server_pace.h
+++ b/packages/forwarding/connection/server_pace.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "forwarding/request/flow_packet.h"
 
+#include <cstdint>
 #include <unordered_map>
 #include <vector>
 
@@ -28,7 +29,7 @@
     void begin(server_key server, time_point now);
     /** The server has answered a request of this instance; `usual` is the time others take. */
     void onAnswer(server_key server, duration time, duration usual, time_point now);
-    /** The server did not answer, or was set aside. */
+    /** The server did not answer or was set aside; a slow start under way begins anew. */
     void onSilence(server_key server, time_point now);
     /** Another instance reports when the server last answered and its mean answer time, or zero. */
     void onPeerAnswer(server_key server, time_point at, duration time, duration usual);
@@ -42,6 +43,23 @@
 
     /** Returns and clears the changes since the last call. */
     std::vector<pace_change> takeChanges();
+
+private:
+    struct slow_start
+    {
+        double share = 1;
+        time_point beganAt;
+        time_point lastStep;
+        // Answers since the last step.
+        std::uint32_t answers = 0;
+        duration answerTime{}; ///< Sum over the answers whose times are known.
+        duration usualTime{}; ///< Sum of what others take, for the same answers.
+    };
+
+    void addAnswer(slow_start &state, duration time, duration usual);
+
+    std::unordered_map<server_key, slow_start> m_slowStarts;
+    std::vector<pace_change> m_changes;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/process/load_reports.cpp
+++ b/packages/forwarding/process/load_reports.cpp
@@ -1,21 +1,180 @@
 #include "forwarding/process/load_reports.h"
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <set>
+#include <utility>
+
 namespace ebonyway {
 
-load_reports::load_reports(std::string)
-{ }
-void load_reports::add(const peer_entry &, const std::vector<peer_server_load> &,
-                       const std::vector<service_demand> &, time_point)
-{ }
-void load_reports::remove(const std::string &)
+namespace {
+
+using namespace std::chrono_literals;
+
+// How long a report counts. An instance of a large deployment hears some 24 random peers a second,
+// so that within this time it knows a good part of them.
+constexpr duration ReportLifetime = 2s;
+
+// Longest answer time that a report may state. Callers wait for seconds.
+constexpr duration MaxAnswerTime = 1min;
+
+bool isAmount(double figure)
+{
+    return std::isfinite(figure) && figure >= 0;
+}
+
+bool isPlausible(const service_demand &demand)
+{
+    return isAmount(demand.newFlows) && isAmount(demand.laterRequests) && isAmount(demand.refused)
+           && isAmount(demand.underWay) && demand.workTime >= 0ns
+           && demand.workTime <= MaxAnswerTime;
+}
+
+bool isPlausible(const peer_server_load &load)
+{
+    return isAmount(load.underWay) && load.answerTime >= 0ns && load.answerTime <= MaxAnswerTime;
+}
+
+/** Sum of the demand for one service over one route in one failure domain. */
+struct demand_sum
+{
+    service_demand total;
+    double workSeconds = 0; ///< Sum of work times, each weighted by the requests.
+    double workWeight = 0;
+};
+
+/** Sum of the use of one server. */
+struct usage_sum
+{
+    server_usage total;
+    double answerSeconds = 0;
+};
+
+duration fromSeconds(double length)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(length));
+}
+
+double toSeconds(duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+void addScaled(demand_sum &sum, const service_demand &demand, double scale)
+{
+    sum.total.service = demand.service;
+    sum.total.route = demand.route;
+    sum.total.newFlows += demand.newFlows * scale;
+    sum.total.laterRequests += demand.laterRequests * scale;
+    sum.total.refused += demand.refused * scale;
+    sum.total.underWay += demand.underWay * scale;
+    if (demand.workTime > 0ns) {
+        const double weight = demand.newFlows + demand.laterRequests;
+        sum.workSeconds += weight * toSeconds(demand.workTime);
+        sum.workWeight += weight;
+    }
+}
+
+void addScaled(usage_sum &sum, const peer_server_load &load, double scale)
+{
+    sum.total.server = load.server;
+    sum.total.flows += load.flowCount * scale;
+    sum.total.underWay += load.underWay * scale;
+    if (load.answerTime > 0ns) {
+        ++sum.total.answerReporters;
+        sum.answerSeconds += toSeconds(load.answerTime);
+    }
+}
+
+} // namespace
+
+load_reports::load_reports(std::string self)
+    : m_self(std::move(self))
 { }
-shared_load load_reports::estimate(const std::map<std::string, std::size_t> &, time_point)
+
+void load_reports::add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+                       const std::vector<service_demand> &demands, time_point now)
+{
+    report &kept = m_reports[sender.name];
+    kept = report{sender.failureDomain, now, {}, {}};
+    std::set<server_key> servers;
+    for (const peer_server_load &load : loads) {
+        if (!isPlausible(load) || !servers.insert(load.server).second) {
+            ++m_ignoredEntries;
+            continue;
+        }
+        kept.loads.push_back(load);
+    }
+    std::set<std::pair<std::uint32_t, std::uint32_t>> keys;
+    for (const service_demand &demand : demands) {
+        if (!isPlausible(demand) || !keys.insert({demand.service, demand.route}).second
+            || kept.demands.size() >= MaxDemandsReported) {
+            ++m_ignoredEntries;
+            continue;
+        }
+        kept.demands.push_back(demand);
+    }
+}
+
+void load_reports::remove(const std::string &instance)
 {
-    return {};
+    m_reports.erase(instance);
 }
-std::uint64_t load_reports::ignoredEntries() const
+
+shared_load load_reports::estimate(const std::map<std::string, std::size_t> &instances,
+                                   time_point now)
+{
+    std::erase_if(m_reports, [now](const auto &item) {
+        return now - item.second.receivedAt > ReportLifetime;
+    });
+    std::map<std::string, std::size_t> reporters;
+    for (const auto &[name, one] : m_reports) {
+        ++reporters[one.failureDomain];
+    }
+    std::map<std::string, double> scales;
+    for (const auto &[domain, count] : reporters) {
+        const auto known = instances.find(domain);
+        const double all = known == instances.end() ? 0.0 : static_cast<double>(known->second);
+        scales[domain] = std::max(1.0, all / static_cast<double>(count));
+    }
+    return sum(scales);
+}
+
+shared_load load_reports::sum(const std::map<std::string, double> &scales) const
 {
-    return 0;
+    using demand_key = std::pair<std::uint32_t, std::uint32_t>;
+    std::map<std::string, std::map<demand_key, demand_sum>> demands;
+    std::map<server_key, usage_sum> servers;
+    shared_load shared;
+    for (const auto &[name, one] : m_reports) {
+        const double scale = scales.at(one.failureDomain);
+        for (const service_demand &demand : one.demands) {
+            addScaled(demands[one.failureDomain][{demand.service, demand.route}], demand, scale);
+        }
+        if (name == m_self) {
+            continue;
+        }
+        ++shared.reporters;
+        for (const peer_server_load &load : one.loads) {
+            addScaled(servers[load.server], load, scale);
+        }
+    }
+    for (auto &[domain, sums] : demands) {
+        for (auto &[key, sum] : sums) {
+            if (sum.workWeight > 0) {
+                sum.total.workTime = fromSeconds(sum.workSeconds / sum.workWeight);
+            }
+            shared.demands.push_back({domain, sum.total});
+        }
+    }
+    for (auto &[key, sum] : servers) {
+        if (sum.total.answerReporters > 0) {
+            sum.total.answerTime = fromSeconds(sum.answerSeconds / sum.total.answerReporters);
+        }
+        shared.servers.push_back(sum.total);
+    }
+    return shared;
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/process/load_reports.h
+++ b/packages/forwarding/process/load_reports.h
@@ -37,7 +37,22 @@
     shared_load estimate(const std::map<std::string, std::size_t> &instances, time_point now);
 
     /** Returns the number of implausible entries since the start. */
-    std::uint64_t ignoredEntries() const;
+    std::uint64_t ignoredEntries() const { return m_ignoredEntries; }
+
+private:
+    struct report
+    {
+        std::string failureDomain;
+        time_point receivedAt;
+        std::vector<peer_server_load> loads;
+        std::vector<service_demand> demands;
+    };
+
+    shared_load sum(const std::map<std::string, double> &scales) const;
+
+    std::string m_self;
+    std::map<std::string, report> m_reports; ///< By the name of the instance.
+    std::uint64_t m_ignoredEntries = 0;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -2,7 +2,9 @@
 
 #include "core/bounded_archive.h"
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cstdint>
 
 namespace ebonyway {
@@ -11,7 +13,9 @@
 
 // Numbers that identify the type and version of heartbeats and of encoded knowledge. Instances with
 // different versions reject each other's messages and read the store themselves.
-constexpr std::uint32_t MessageVersion = 0x45570004;
+constexpr std::uint32_t MessageVersion = 0x45570005;
+// Heartbeats without demands, of instances that are not yet replaced in a rolling update.
+constexpr std::uint32_t PreviousMessageVersion = 0x45570004;
 constexpr std::uint32_t KnowledgeVersion = 0x45580005;
 
 // Maximum size of encoded knowledge, enough for 2,800 backend servers and 1,800 routes. The limit
@@ -19,6 +23,43 @@
 // much memory.
 constexpr std::size_t MaxKnowledgeBytes = 512U << 10;
 
+/** Load on a backend server in a heartbeat of the previous version. */
+struct previous_server_load
+{
+    peer_server_load load;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        std::uint16_t flows = 0;
+        std::uint8_t suspicious = 0;
+        std::uint16_t age = 0;
+        archive(load.server, flows, suspicious, age);
+        load.flowCount = flows;
+        load.suspiciousInstances = suspicious;
+        load.answeredAgo = std::chrono::milliseconds(age);
+    }
+};
+
+/** Heartbeat of the previous version. */
+struct previous_message
+{
+    peer_message message;
+
+    template <class Archive>
+    void serialize(Archive &archive)
+    {
+        std::vector<previous_server_load> loads;
+        for (store_position &position : message.positions) {
+            archive(position);
+        }
+        archive(message.sender, message.otherPeers, loads);
+        for (const previous_server_load &one : loads) {
+            message.loads.push_back(one.load);
+        }
+    }
+};
+
 /** Prefixes a message with a number that identifies its type and version. */
 template <typename Message>
 struct versioned
@@ -56,6 +97,7 @@
 
 std::vector<std::byte> encodePeerMessage(peer_message message)
 {
+    message.demands.resize(std::min(message.demands.size(), MaxDemandsReported));
     std::vector<std::byte> bytes = encode(MessageVersion, message);
     while (bytes.size() > MaxPeerMessageBytes
            && !(message.loads.empty() && message.otherPeers.empty())) {
@@ -72,7 +114,15 @@
         return error{error_kind::LimitExceeded, "heartbeat exceeds the size limit",
                      "Check which process sends to the peer port."};
     }
-    return decode<peer_message>(MessageVersion, bytes);
+    auto decoded = decode<peer_message>(MessageVersion, bytes);
+    if (isOk(decoded)) {
+        return decoded;
+    }
+    auto previous = decode<previous_message>(PreviousMessageVersion, bytes);
+    if (isOk(previous)) {
+        return std::move(valueOf(previous).message);
+    }
+    return decoded;
 }
 
 std::string encodePositions(const known_positions &positions)
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -54,11 +54,20 @@
 /** Maximum size of a heartbeat in bytes, so that it fits into one Ethernet frame. */
 constexpr std::size_t MaxPeerMessageBytes = 1'400;
 
-/** Encodes a heartbeat. Drops entries from `loads` and `others` until it fits. */
+/**
+ * Maximum number of demands in a heartbeat. An instance's callers rarely use more routes at a time;
+ * 16 take less than 200 bytes.
+ */
+constexpr std::size_t MaxDemandsReported = 16;
+
+/**
+ * Encodes a heartbeat. Drops entries from `loads` and `others` until it fits, and the smallest
+ * `demands` above MaxDemandsReported.
+ */
 std::vector<std::byte> encodePeerMessage(peer_message message);
 /**
- * Fails with LimitExceeded if the message is too large, and with InvalidInput unless it is a
- * complete heartbeat of this version.
+ * Decodes a heartbeat of this version or of the previous one, which has no demands. Fails with
+ * LimitExceeded if the message is too large, and with InvalidInput unless it is complete.
  */
 result<peer_message> decodePeerMessage(std::span<const std::byte> bytes);
 
