Forwarding: end unanswered requests after the time that answers take

A server that resets a flow does so past the instances, and the request counted as under way until the flow's idle timeout of 15 s.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -33,6 +33,12 @@
 // suspicions.
 constexpr duration AnswerReportTime = 2s;
 
+// Time after which an unanswered request may count as ended. A server resets a flow that it cannot
+// hold without this instance seeing it; such requests once counted as under way until the flow's
+// idle timeout, so that the service seemed overloaded for 15 s. Services whose answers take longer
+// get more time.
+constexpr duration MinRequestLifetime = 1s;
+
 // Time after which callers retransmit data at the earliest.
 constexpr duration MinRetransmissionTime = 200ms;
 
@@ -538,6 +544,7 @@
         record.requestPending = true;
         record.requestedAt = now;
         m_evidence.addBusyFlows(record.server, 1);
+        m_requests.emplace_back(now, packet.flow);
         m_meter.onRequest(record.serviceTag, record.routeTag,
                           !std::exchange(record.hasCarriedRequest, true));
     }
@@ -558,10 +565,28 @@
     }
     record.state = flow_table_entry::phase::Finished;
     m_evidence.addOpenFlows(record.server, -1);
-    if (record.requestPending) {
-        record.requestPending = false;
-        m_evidence.addBusyFlows(record.server, -1);
-        m_meter.onAbandoned(record.serviceTag, record.routeTag);
+    endRequest(record);
+}
+
+void forwarder::endRequest(flow_table_entry &record)
+{
+    if (!std::exchange(record.requestPending, false)) {
+        return;
+    }
+    m_evidence.addBusyFlows(record.server, -1);
+    m_meter.onAbandoned(record.serviceTag, record.routeTag);
+}
+
+void forwarder::expireRequests(time_point now)
+{
+    const duration longest = std::max(m_evidence.longestAnswerTime(), MinRequestLifetime);
+    while (!m_requests.empty() && now - m_requests.front().first > longest) {
+        const auto [requestedAt, flow] = m_requests.front();
+        m_requests.pop_front();
+        flow_table_entry *record = m_flows.find(flow);
+        if (record && record->requestPending && record->requestedAt == requestedAt) {
+            endRequest(*record);
+        }
     }
 }
 
@@ -601,6 +626,7 @@
         finish(record);
     }
     m_coldStarts.removeIdle(now);
+    expireRequests(now);
     m_evidence.tick();
     m_meter.tick([this](std::uint32_t service) { return m_admission.isLightlyLoaded(service); },
                  now);
--- a/packages/forwarding/connection/forwarder.h
+++ b/packages/forwarding/connection/forwarder.h
@@ -206,6 +206,9 @@
     void trackData(const flow_packet &packet, flow_table_entry &record, time_point lastSeen,
                    time_point now);
     void onAnswerTime(const flow_table_entry &record, time_point now);
+    void endRequest(flow_table_entry &record);
+    /** Ends requests that were not answered in the time that answers take. */
+    void expireRequests(time_point now);
     void finish(flow_table_entry &record);
     /** Ends the flow of an entry and prepares it for a new flow from the same port. */
     void reuse(flow_table_entry &record, time_point now);
@@ -227,6 +230,8 @@
     time_point m_offerChecksResumeAt;
     /** Offers that were not yet checked for a timeout, oldest first. */
     std::deque<std::pair<time_point, flow_id>> m_offers;
+    /** Requests that may be unanswered, oldest first. */
+    std::deque<std::pair<time_point, flow_id>> m_requests;
 };
 
 } // namespace ebonyway
--- a/packages/forwarding/connection/server_evidence.cpp
+++ b/packages/forwarding/connection/server_evidence.cpp
@@ -380,6 +380,15 @@
     }
 }
 
+duration server_evidence::longestAnswerTime() const
+{
+    duration longest{};
+    for (const auto &[service, estimate] : m_answerTimes) {
+        longest = std::max(longest, estimate.upperBound());
+    }
+    return longest;
+}
+
 void server_evidence::tick()
 {
     for (auto &[key, state] : m_conditions) {
--- a/packages/forwarding/connection/server_evidence.h
+++ b/packages/forwarding/connection/server_evidence.h
@@ -85,6 +85,8 @@
     void onRetransmission(server_key server, time_point now);
     /** The server took this long to answer a request of an open flow. */
     void onAnswerTime(server_key server, duration length, time_point now);
+    /** Returns a time that few answers of any service exceed. */
+    duration longestAnswerTime() const;
     /** Updates the mean number of busy flows of each server; call it every 200 ms. */
     void tick();
     /**
