--- a/packages/forwarding/connection/flow_admission.cpp
+++ b/packages/forwarding/connection/flow_admission.cpp
@@ -1,7 +1,5 @@
 #include "forwarding/connection/flow_admission.h"
 
-#include "forwarding/connection/admission_shares.h"
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -32,6 +30,9 @@
 constexpr double CapacityDecrease = 0.1;
 constexpr double CapacityIncrease = 0.2;
 
+// Interval of the reports while load shedding continues, which bounds the volume of the log.
+constexpr duration ReportInterval = 1s;
+
 // Longest time between two updates to reckon with; after a longer one the instance was paused.
 constexpr std::chrono::duration<double> MaxElapsed = 1s;
 
@@ -77,7 +78,7 @@
     std::unordered_map<std::uint32_t, service_state> before = std::exchange(m_services, {});
     for (const admission_input &input : services) {
         m_services[input.service] = std::move(before[input.service]);
-        updateService(input, elapsed);
+        updateService(input, elapsed, now);
     }
 }
 
@@ -97,7 +98,7 @@
     factor = std::clamp(factor, MinCapacityFactor, MaxCapacityFactor);
 }
 
-void flow_admission::updateService(const admission_input &input, duration elapsed)
+void flow_admission::updateService(const admission_input &input, duration elapsed, time_point now)
 {
     service_state &state = m_services[input.service];
     double underWay = 0;
@@ -119,20 +120,45 @@
     const double capacity = input.slots * state.capacityFactor;
     const double threshold = state.shedding ? RoomPressure : BusyPressure;
     const bool sheds = input.slots > 0 && demand > capacity && state.pressure > threshold;
-    if (sheds != state.shedding) {
-        state.shedding = sheds;
-        m_changes.push_back({input.service, sheds, demand, input.slots, state.pressure});
-    }
     state.shares.clear();
-    if (!sheds) {
+    if (sheds) {
+        const std::vector<double> shares = admissionShares(groups, capacity);
+        for (std::size_t i = 0; i < shares.size(); ++i) {
+            if (input.demands[i].failureDomain == m_failureDomain) {
+                state.shares[input.demands[i].demand.route] = shares[i];
+            }
+        }
+    }
+    reportChange(input, state, groups, sheds, now);
+}
+
+void flow_admission::reportChange(const admission_input &input, service_state &state,
+                                  const std::vector<admission_group> &groups, bool sheds,
+                                  time_point now)
+{
+    const bool before = std::exchange(state.shedding, sheds);
+    if (before == sheds && (!sheds || now - state.reportedAt < ReportInterval)) {
         return;
     }
-    const std::vector<double> shares = admissionShares(groups, capacity);
-    for (std::size_t i = 0; i < shares.size(); ++i) {
-        if (input.demands[i].failureDomain == m_failureDomain) {
-            state.shares[input.demands[i].demand.route] = shares[i];
-        }
+    state.reportedAt = now;
+    admission_change change;
+    change.service = input.service;
+    if (before == sheds) {
+        change.state = admission_change::phase::Continues;
+    } else {
+        change.state = sheds ? admission_change::phase::Started : admission_change::phase::Ended;
+    }
+    for (const admission_group &group : groups) {
+        change.demand += group.newFlows + group.openFlows;
+        change.openFlowDemand += group.openFlows;
+    }
+    change.slots = input.slots;
+    change.pressure = state.pressure;
+    change.capacityFactor = state.capacityFactor;
+    for (const auto &[route, share] : state.shares) {
+        change.leastShare = std::min(change.leastShare, share);
     }
+    m_changes.push_back(change);
 }
 
 const flow_admission::service_state *flow_admission::find(std::uint32_t service) const
--- a/packages/forwarding/connection/flow_admission.h
+++ b/packages/forwarding/connection/flow_admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ip_address.h"
+#include "forwarding/connection/admission_shares.h"
 #include "forwarding/connection/service_demand.h"
 
 #include <chrono>
@@ -31,14 +32,19 @@
     std::vector<admission_demand> demands;
 };
 
-/** Reports that a service has begun or ended to refuse new flows. */
+/** State of load shedding of a service, as it begins, once a second, and as it ends. */
 struct admission_change
 {
+    enum class phase : std::uint8_t { Started, Continues, Ended };
+
     std::uint32_t service = 0;
-    bool shedding = false;
+    phase state = phase::Started;
     double demand = 0; ///< In slots.
+    double openFlowDemand = 0; ///< Part of it that open flows ask for.
     double slots = 0;
     double pressure = 0; ///< Requests under way per slot.
+    double capacityFactor = 1; ///< Correction of the capacity that the slots suggest.
+    double leastShare = 1; ///< Lowest share of this domain's callers that are let through.
 };
 
 /**
@@ -82,10 +88,13 @@
         bool shedding = false;
         /** Corrects the capacity that the slots and the work time suggest. */
         double capacityFactor = 1;
+        time_point reportedAt; ///< When the last change was reported.
         std::map<std::uint32_t, double> shares; ///< Of this domain's callers, by route.
     };
 
-    void updateService(const admission_input &input, duration elapsed);
+    void updateService(const admission_input &input, duration elapsed, time_point now);
+    void reportChange(const admission_input &input, service_state &state,
+                      const std::vector<admission_group> &groups, bool sheds, time_point now);
     void updateCapacity(service_state &state, duration elapsed) const;
     const service_state *find(std::uint32_t service) const;
 
--- a/packages/forwarding/edge/decision_log.cpp
+++ b/packages/forwarding/edge/decision_log.cpp
@@ -32,6 +32,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
 }
 
+const char *eventName(admission_change::phase state)
+{
+    switch (state) {
+    case admission_change::phase::Started:
+        return "load_shedding_started";
+    case admission_change::phase::Continues:
+        return "load_shedding_continues";
+    case admission_change::phase::Ended:
+        return "load_shedding_ended";
+    }
+    return "load_shedding_ended";
+}
+
 } // namespace
 
 decision_log::decision_log(event_log &log, forwarding_counters &counters, metrics_registry &metrics)
@@ -95,11 +108,14 @@
 void decision_log::onAdmissionChange(const std::string &service, const admission_change &change)
 {
     m_log.write({log_level::Warn,
-                 change.shedding ? "load_shedding_started" : "load_shedding_ended",
+                 eventName(change.state),
                  {{"service", service},
                   {"demand_slots", change.demand},
+                  {"open_flow_demand_slots", change.openFlowDemand},
                   {"slots", change.slots},
-                  {"pressure", change.pressure}}});
+                  {"pressure", change.pressure},
+                  {"capacity_factor", change.capacityFactor},
+                  {"least_admitted_share", change.leastShare}}});
 }
 
 void decision_log::onServiceLoads(const std::vector<service_load_figures> &loads)
