Forwarding: leave servers to more urgent flows

A share of the servers that follows the demand of the more urgent priorities now takes other flows only if the rest is much busier. Demands of reports count for one second, as an overload appeared and ended late.

--- a/packages/forwarding/connection/deployment_load.cpp
+++ b/packages/forwarding/connection/deployment_load.cpp
@@ -1,11 +1,30 @@
 #include "forwarding/connection/deployment_load.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <utility>
 
 namespace ebonyway {
 
+namespace {
+
+// Demand of the more urgent priorities for which servers are kept free of less urgent flows,
+// relative to their present demand. Open flows stay where they are, so room for a surge of the
+// urgent ones has to exist before it comes.
+constexpr double UrgentHeadroom = 2;
+
+// Upper bound of the reserved share, so that the less urgent flows keep half of the servers.
+constexpr double MaxReservedShare = 0.5;
+
+// Time in which the reserved share follows the demand. Long flows last for some tens of seconds; a
+// share that follows each surge would move servers in and out while their flows stay.
+constexpr std::chrono::duration<double> ReservationTime = std::chrono::seconds(10);
+
+} // namespace
+
 deployment_load::deployment_load(std::string failureDomain)
     : m_failureDomain(std::move(failureDomain))
 { }
@@ -45,17 +64,21 @@
         }
         demands[service].push_back(one);
     }
-    m_services.clear();
+    const duration elapsed = now - std::exchange(m_updatedAt, now);
+    const auto before = std::exchange(m_services, {});
     m_admissionInputs.clear();
     for (const auto &[service, parts] : demands) {
-        addService(service, servers, evidence, parts, silentDomains, now);
+        const auto known = before.find(service);
+        addService(service, servers, evidence, parts, silentDomains,
+                   known == before.end() ? nullptr : &known->second, elapsed, now);
     }
 }
 
 void deployment_load::addService(const std::string &service, const directory &servers,
                                  const server_evidence &evidence,
                                  const std::vector<domain_demand> &demands,
-                                 const std::set<std::string> &silentDomains, time_point now)
+                                 const std::set<std::string> &silentDomains,
+                                 const service_room *before, duration elapsed, time_point now)
 {
     std::map<std::string, domain_room> rooms;
     double underWay = 0;
@@ -105,10 +128,48 @@
         load.usual.answerTime = std::chrono::duration_cast<duration>(
                 std::chrono::duration<double>(answerSeconds / answerWeight));
     }
+    updateReservedShares(load, admission, before, elapsed);
     m_services[service] = std::move(load);
     m_admissionInputs.push_back(std::move(admission));
 }
 
+void deployment_load::updateReservedShares(service_room &room, const admission_input &input,
+                                           const service_room *before, duration elapsed) const
+{
+    std::map<std::uint32_t, double> demands; // In seconds of work per second, by priority.
+    double total = 0;
+    for (const admission_demand &one : input.demands) {
+        const double demand = (one.demand.newFlows + one.demand.laterRequests)
+                              * std::chrono::duration<double>(one.demand.workTime).count();
+        demands[one.priority] += demand;
+        total += demand;
+    }
+    const double gain =
+            before ? std::min(1.0, std::chrono::duration<double>(elapsed) / ReservationTime) : 1.0;
+    double moreUrgent = 0;
+    for (const auto &[priority, demand] : demands) {
+        const double wanted = UrgentHeadroom * moreUrgent;
+        const double rest = total - moreUrgent;
+        const double target =
+                wanted > 0 ? std::min(MaxReservedShare, wanted / (wanted + rest)) : 0.0;
+        const double share = before ? before->reservedShare(priority) : target;
+        room.reservedShares[priority] = share + (target - share) * gain;
+        moreUrgent += demand;
+    }
+}
+
+double service_room::reservedShare(std::uint32_t priority) const
+{
+    const auto found = reservedShares.find(priority);
+    return found == reservedShares.end() ? 0 : found->second;
+}
+
+bool isReserved(server_key server, double share)
+{
+    const std::uint64_t hash = XXH3_64bits(&server.value, sizeof(server.value));
+    return static_cast<double>(hash >> 11) * 0x1p-53 < share;
+}
+
 const service_room *deployment_load::find(const std::string &service) const
 {
     const auto found = m_services.find(service);
--- a/packages/forwarding/connection/deployment_load.h
+++ b/packages/forwarding/connection/deployment_load.h
@@ -8,6 +8,7 @@
 #include "forwarding/version/directory.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -21,8 +22,22 @@
     std::vector<domain_room> domains; ///< Domains in reach with servers or callers of the service.
     std::vector<double> shares; ///< domainShares() of these domains.
     usual_queue usual;
+    /**
+     * By priority: share of the servers that is left to more urgent flows as long as others are not
+     * much busier.
+     */
+    std::map<std::uint32_t, double> reservedShares;
+
+    /** Returns the reserved share for flows of a priority. */
+    double reservedShare(std::uint32_t priority) const;
 };
 
+/**
+ * Returns whether a server belongs to the given share of the servers that is left to more urgent
+ * flows. All instances reserve the same servers, up to small differences of the share.
+ */
+bool isReserved(server_key server, double share);
+
 /**
  * Relates the load that the instances share to the services and servers of the directory: the only
  * reader of shared_load. Placement and admission take their inputs from here.
@@ -55,15 +70,20 @@
 
 private:
     void adoptRoutes(const route_table &routes);
+    /** Follows the demand of the more urgent priorities slowly, as open flows cannot move. */
+    void updateReservedShares(service_room &room, const admission_input &input,
+                              const service_room *before, duration elapsed) const;
     void addService(const std::string &service, const directory &servers,
                     const server_evidence &evidence, const std::vector<domain_demand> &demands,
-                    const std::set<std::string> &silentDomains, time_point now);
+                    const std::set<std::string> &silentDomains, const service_room *before,
+                    duration elapsed, time_point now);
 
     std::string m_failureDomain;
     std::uint64_t m_routesVersion = 0; ///< Version of the desired state that the tags are from.
     std::unordered_map<std::uint32_t, std::string> m_serviceNames; ///< By tag.
     std::unordered_map<std::uint32_t, std::uint32_t> m_priorities; ///< By the tag of the route.
     std::unordered_map<std::string, service_room> m_services;
+    time_point m_updatedAt;
     std::unordered_map<server_key, server_usage> m_usage;
     std::uint32_t m_reporters = 0;
     std::vector<admission_input> m_admissionInputs;
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -269,8 +269,8 @@
     if (packet.acknowledged == 0 && !offeredBefore && isShed(packet, to, *service)) {
         return refuse(packet, forwarding_refusal::LoadShed, true);
     }
-    const auto choice =
-            m_placement.choose(inputs(), *service, offeredBefore ? record : nullptr, now);
+    const auto choice = m_placement.choose(inputs(), *service, to.priority,
+                                           offeredBefore ? record : nullptr, now);
     if (choice) {
         if (!record) {
             record = m_flows.add(packet.flow, now);
@@ -367,7 +367,8 @@
         if (!service) {
             continue;
         }
-        const auto choice = m_placement.choose(inputs(), *service, record, now);
+        const auto choice =
+                m_placement.choose(inputs(), *service, found->second.priority, record, now);
         if (!choice || choice->tier != placement_tier::Warm) {
             continue;
         }
--- a/packages/forwarding/connection/placement.cpp
+++ b/packages/forwarding/connection/placement.cpp
@@ -24,6 +24,10 @@
 // avoid most long queues; with four, one is nearly always in a good state.
 constexpr std::size_t SampleSize = 4;
 
+// A server that is reserved for more urgent flows takes others only if the expected wait elsewhere
+// is longer by this factor.
+constexpr int ReservedServerFactor = 3;
+
 } // namespace
 
 const char *placementTierName(placement_tier tier)
@@ -99,6 +103,7 @@
 
 std::optional<placement_choice> placement::choose(const placement_inputs &inputs,
                                                   const std::string &service,
+                                                  std::uint32_t priority,
                                                   const flow_table_entry *previous, time_point now)
 {
     const auto found = inputs.servers.routes().services.find(service);
@@ -110,7 +115,7 @@
     const service_room *room = inputs.load.find(service);
     limits.isQueueing = room && room->usual.requestsPerSlot > 1;
     if (inputs.servers.candidates(service).size() > MaxServersExamined) {
-        auto sampled = chooseFromSample(inputs, service, limits, previous, now);
+        auto sampled = chooseFromSample(inputs, service, limits, priority, previous, now);
         if (sampled && sampled->tier == placement_tier::Warm) {
             return sampled;
         }
@@ -165,11 +170,10 @@
     return m_failureDomain;
 }
 
-std::optional<placement_choice> placement::chooseFromSample(const placement_inputs &inputs,
-                                                            const std::string &service,
-                                                            const server_limits &limits,
-                                                            const flow_table_entry *previous,
-                                                            time_point now)
+std::optional<placement_choice>
+placement::chooseFromSample(const placement_inputs &inputs, const std::string &service,
+                            const server_limits &limits, std::uint32_t priority,
+                            const flow_table_entry *previous, time_point now)
 {
     const service_room *room = inputs.load.find(service);
     const auto &byDomain = inputs.servers.candidatesByDomain(service);
@@ -179,6 +183,7 @@
     }
     const std::vector<std::size_t> &indexes = found->second;
     const usual_queue usual = room ? room->usual : usual_queue{};
+    const double reserved = room ? room->reservedShare(priority) : 0;
     std::optional<placement_choice> best;
     for (std::size_t i = 0; i < SampleSize; ++i) {
         const directory_server &server =
@@ -189,7 +194,10 @@
         }
         const server_condition &state = inputs.evidence.condition(server.entry.key);
         const server_queue queue = queueOf(inputs.load, server, state);
-        const duration wait = expectedWait(queue, usual);
+        duration wait = expectedWait(queue, usual);
+        if (isReserved(server.entry.key, reserved)) {
+            wait *= ReservedServerFactor;
+        }
         const bool isBetter = !best || *tier < best->tier || wait < best->wait;
         if (isBetter) {
             best = placement_choice{&server, *tier, loadOf(server, state), wait, indexes.size()};
--- a/packages/forwarding/connection/placement.h
+++ b/packages/forwarding/connection/placement.h
@@ -67,10 +67,11 @@
 
     /**
      * Chooses a backend server of the service, except those that the flow `previous` was already
-     * offered to (nullptr for none). Returns nothing if no server can take the flow.
+     * offered to (nullptr for none). `priority` is the one of the flow's route. Returns nothing if
+     * no server can take the flow.
      */
     std::optional<placement_choice> choose(const placement_inputs &inputs,
-                                           const std::string &service,
+                                           const std::string &service, std::uint32_t priority,
                                            const flow_table_entry *previous, time_point now);
 
     /** Picks a service of the route at random by weight. Returns nullptr if it has none. */
@@ -91,7 +92,8 @@
                                                   const flow_table_entry *previous, time_point now);
     std::optional<placement_choice>
     chooseFromSample(const placement_inputs &inputs, const std::string &service,
-                     const server_limits &limits, const flow_table_entry *previous, time_point now);
+                     const server_limits &limits, std::uint32_t priority,
+                     const flow_table_entry *previous, time_point now);
     /** Draws the failure domain for a new flow by the shares of the domains. */
     const std::string &drawDomain(const service_room *room);
     /** Returns the tier of a server, or nothing if it cannot take the flow. */
--- a/packages/forwarding/process/load_reports.cpp
+++ b/packages/forwarding/process/load_reports.cpp
@@ -16,6 +16,10 @@
 // so that within this time it knows a good part of them.
 constexpr duration ReportLifetime = 2s;
 
+// How long the demands of a report count. A second gives enough reports for a sum over all
+// instances, and older ones would let an overload appear and end late.
+constexpr duration DemandLifetime = 1s;
+
 // Longest answer time that a report may state. Callers wait for seconds.
 constexpr duration MaxAnswerTime = 1min;
 
@@ -87,6 +91,15 @@
     }
 }
 
+/** Returns the number of known instances of a domain for each one that reports. */
+double scaleOf(const std::string &domain, const std::map<std::string, std::size_t> &instances,
+               const std::map<std::string, std::size_t> &reporters)
+{
+    const auto known = instances.find(domain);
+    const double all = known == instances.end() ? 0.0 : static_cast<double>(known->second);
+    return std::max(1.0, all / static_cast<double>(reporters.at(domain)));
+}
+
 } // namespace
 
 load_reports::load_reports(std::string self)
@@ -128,53 +141,64 @@
     std::erase_if(m_reports, [now](const auto &item) {
         return now - item.second.receivedAt > ReportLifetime;
     });
-    std::map<std::string, std::size_t> reporters;
-    for (const auto &[name, one] : m_reports) {
-        ++reporters[one.failureDomain];
-    }
-    std::map<std::string, double> scales;
-    for (const auto &[domain, count] : reporters) {
-        const auto known = instances.find(domain);
-        const double all = known == instances.end() ? 0.0 : static_cast<double>(known->second);
-        scales[domain] = std::max(1.0, all / static_cast<double>(count));
-    }
-    return sum(scales);
+    shared_load shared;
+    sumDemands(instances, now, shared);
+    sumServers(instances, shared);
+    return shared;
 }
 
-shared_load load_reports::sum(const std::map<std::string, double> &scales) const
+void load_reports::sumDemands(const std::map<std::string, std::size_t> &instances, time_point now,
+                              shared_load &shared) const
 {
     using demand_key = std::pair<std::uint32_t, std::uint32_t>;
-    std::map<std::string, std::map<demand_key, demand_sum>> demands;
-    std::map<server_key, usage_sum> servers;
-    shared_load shared;
+    std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
-        const double scale = scales.at(one.failureDomain);
-        for (const service_demand &demand : one.demands) {
-            addScaled(demands[one.failureDomain][{demand.service, demand.route}], demand, scale);
-        }
-        if (name == m_self) {
+        reporters[one.failureDomain] += now - one.receivedAt <= DemandLifetime ? 1 : 0;
+    }
+    std::map<std::string, std::map<demand_key, demand_sum>> sums;
+    for (const auto &[name, one] : m_reports) {
+        if (now - one.receivedAt > DemandLifetime) {
             continue;
         }
-        ++shared.reporters;
-        for (const peer_server_load &load : one.loads) {
-            addScaled(servers[load.server], load, scale);
+        const double scale = scaleOf(one.failureDomain, instances, reporters);
+        for (const service_demand &demand : one.demands) {
+            addScaled(sums[one.failureDomain][{demand.service, demand.route}], demand, scale);
         }
     }
-    for (auto &[domain, sums] : demands) {
-        for (auto &[key, sum] : sums) {
+    for (auto &[domain, parts] : sums) {
+        for (auto &[key, sum] : parts) {
             if (sum.workWeight > 0) {
                 sum.total.workTime = fromSeconds(sum.workSeconds / sum.workWeight);
             }
             shared.demands.push_back({domain, sum.total});
         }
     }
-    for (auto &[key, sum] : servers) {
+}
+
+void load_reports::sumServers(const std::map<std::string, std::size_t> &instances,
+                              shared_load &shared) const
+{
+    std::map<std::string, std::size_t> reporters;
+    for (const auto &[name, one] : m_reports) {
+        ++reporters[one.failureDomain];
+    }
+    std::map<server_key, usage_sum> sums;
+    for (const auto &[name, one] : m_reports) {
+        if (name == m_self) {
+            continue;
+        }
+        ++shared.reporters;
+        const double scale = scaleOf(one.failureDomain, instances, reporters);
+        for (const peer_server_load &load : one.loads) {
+            addScaled(sums[load.server], load, scale);
+        }
+    }
+    for (auto &[key, sum] : sums) {
         if (sum.total.answerReporters > 0) {
             sum.total.answerTime = fromSeconds(sum.answerSeconds / sum.total.answerReporters);
         }
         shared.servers.push_back(sum.total);
     }
-    return shared;
 }
 
 } // namespace ebonyway
--- a/packages/forwarding/process/load_reports.h
+++ b/packages/forwarding/process/load_reports.h
@@ -48,7 +48,9 @@
         std::vector<service_demand> demands;
     };
 
-    shared_load sum(const std::map<std::string, double> &scales) const;
+    void sumDemands(const std::map<std::string, std::size_t> &instances, time_point now,
+                    shared_load &shared) const;
+    void sumServers(const std::map<std::string, std::size_t> &instances, shared_load &shared) const;
 
     std::string m_self;
     std::map<std::string, report> m_reports; ///< By the name of the instance.
