--- a/packages/forwarding/connection/flow_admission.cpp
+++ b/packages/forwarding/connection/flow_admission.cpp
@@ -11,9 +11,17 @@
 
 using namespace std::chrono_literals;
 
-// Requests under way per slot. With one per slot there is work for all slots; below RoomPressure
-// some are idle, so nothing is refused. Between the two, shedding continues once it has begun.
+// Requests under way per slot above which shedding begins: on average each request then waits for
+// one other. The work times, and so the demand, are only known up to the waits of a lightly loaded
+// service; with a limit of one request per slot, new flows were refused at nine tenths of the
+// capacity.
+constexpr double OverloadPressure = 2.0;
+
+// Requests per slot at which there is work for all slots.
 constexpr double BusyPressure = 1.0;
+
+// Requests per slot below which some slots are idle, so that nothing is refused. Between this and
+// OverloadPressure, shedding continues once it has begun.
 constexpr double RoomPressure = 0.8;
 
 // Requests per slot above which the servers' queues are long and servers are likely to reject
@@ -118,7 +126,7 @@
         demand += groups.back().newFlows + groups.back().openFlows;
     }
     const double capacity = input.slots * state.capacityFactor;
-    const double threshold = state.shedding ? RoomPressure : BusyPressure;
+    const double threshold = state.shedding ? RoomPressure : OverloadPressure;
     const bool sheds = input.slots > 0 && demand > capacity && state.pressure > threshold;
     state.shares.clear();
     if (sheds) {
