Forwarding: test which packets load shedding may reset

First packets of refused callers are reset before any offer; copies not seen here, flows offered before and open flows are never reset for this reason. Unanswered requests stop counting after the time that answers take. All pass on the present code.

--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -784,4 +784,150 @@
     CHECK(subject.evidence().condition(server).silences == 0);
 }
 
+/** A service whose callers ask for about four times what its slots bear. */
+struct shedding_fixture : forwarder_fixture
+{
+    std::uint32_t nextCaller = 0x0a000000;
+
+    void shareOverload()
+    {
+        service_demand demand;
+        demand.service = demandTag("desk");
+        demand.route = demandTag(samples::feedAddress());
+        demand.newFlows = 1'000;
+        demand.underWay = 60;
+        demand.workTime = 100ms;
+        subject.setSharedLoad({{{"a", demand}}, {}, 1}, now);
+    }
+
+    flow_packet openingOf(std::uint32_t caller, std::uint32_t copy = 0)
+    {
+        ++nextPort;
+        flow_packet packet = opening(samples::feedAddress(), copy);
+        packet.flow.caller.address = ip_address::fromV4(caller);
+        return packet;
+    }
+
+    /** Returns a caller that is refused now. */
+    std::uint32_t refusedCaller()
+    {
+        while (!isReset(subject.decide(openingOf(++nextCaller), now),
+                        forwarding_refusal::LoadShed)) {
+            REQUIRE(nextCaller < 0x0a000400);
+        }
+        return nextCaller;
+    }
+
+    double underWay() const
+    {
+        double sum = 0;
+        for (const service_demand &demand : subject.demands()) {
+            sum += demand.underWay;
+        }
+        return sum;
+    }
+
+    void tickFor(duration length)
+    {
+        for (const time_point end = now + length; now < end;) {
+            now += 200ms;
+            subject.tick(now);
+        }
+    }
+};
+
+// Guards against work for refused callers: a server that was offered the flow may run its request.
+TEST_CASE_FIXTURE(shedding_fixture,
+                  "load shedding, first packet of a refused caller, is reset before any offer")
+{
+    shareOverload();
+    const std::uint32_t caller = refusedCaller();
+    const std::size_t placements = observer.placements.size();
+    const flow_packet again = openingOf(caller);
+    CHECK(isReset(subject.decide(again, now), forwarding_refusal::LoadShed));
+    CHECK(observer.placements.size() == placements);
+    CHECK(observer.refusals.back().flow == again.flow);
+    CHECK(observer.refusals.back().reset);
+    CHECK(checkOffers(200ms).empty());
+    CHECK_FALSE(observer.admissionChanges.empty());
+}
+
+// Guards against the reset of a flow that another instance has offered to a server.
+TEST_CASE_FIXTURE(shedding_fixture,
+                  "load shedding, copy of an opening packet not seen here, is not reset")
+{
+    shareOverload();
+    const std::uint32_t caller = refusedCaller();
+    for (const std::uint32_t copy : {1, 2}) {
+        const auto decision = subject.decide(openingOf(caller, copy), now);
+        CHECK(std::holds_alternative<forward_packet>(decision));
+    }
+}
+
+// Guards against the reset of a flow that was offered before the load shedding began.
+TEST_CASE_FIXTURE(shedding_fixture, "load shedding, flow offered before, is not reset")
+{
+    shareOverload();
+    const std::uint32_t caller = refusedCaller();
+    subject.setSharedLoad({}, now);
+    const flow_packet first = openingOf(caller);
+    const server_key server = serverOf(subject.decide(first, now));
+    REQUIRE(server != server_key{});
+    shareOverload();
+    flow_packet copy = first;
+    copy.acknowledged = 1;
+    CHECK(serverOf(subject.decide(first, now + 1ms)) == server);
+    CHECK(std::holds_alternative<forward_packet>(subject.decide(copy, now + 200ms)));
+}
+
+// Guards against the reset of open flows, which cannot be moved.
+TEST_CASE_FIXTURE(shedding_fixture, "load shedding, open flow of a refused caller, is never reset")
+{
+    shareOverload();
+    const std::uint32_t caller = refusedCaller();
+    subject.setSharedLoad({}, now);
+    const flow_packet first = openingOf(caller);
+    const flow_token token = std::get<forward_packet>(subject.decide(first, now)).token;
+    shareOverload();
+    for (std::uint32_t request = 0; request < 5; ++request) {
+        now += 50ms;
+        const auto packet = laterPacket(first, token, 1 + 100 * request, 100, 1 + 100 * request);
+        CHECK(std::holds_alternative<forward_packet>(subject.decide(packet, now)));
+    }
+    // A duplicate of the opening packet belongs to the open flow.
+    CHECK(std::holds_alternative<forward_packet>(subject.decide(first, now)));
+    // This instance may not have seen the flow before.
+    const flow_packet elsewhere = openingOf(caller);
+    CHECK(std::holds_alternative<forward_packet>(
+            subject.decide(laterPacket(elsewhere, token, 1, 100, 1), now)));
+}
+
+// Guards against a service that seems overloaded for 15 s after its servers reset flows, which no
+// instance sees.
+TEST_CASE_FIXTURE(shedding_fixture,
+                  "unanswered requests, after the time that answers take, stop counting")
+{
+    subject.tick(now);
+    std::vector<std::pair<flow_packet, flow_token>> flows;
+    for (int i = 0; i < 30; ++i) {
+        flows.push_back(openFlow());
+        const auto &[first, token] = flows.back();
+        subject.decide(laterPacket(first, token, 1, 100, 1), now);
+    }
+    tickFor(600ms);
+    CHECK(underWay() > 15);
+    tickFor(3s);
+    CHECK(underWay() < 1);
+    for (const std::uint64_t key : {1, 2, 3, 4, 5, 6}) {
+        CHECK(subject.evidence().condition(server_key{key}).busyFlows == 0);
+    }
+    // The flows stay open, and their next requests count again.
+    for (const auto &[first, token] : flows) {
+        CHECK(std::holds_alternative<forward_packet>(
+                subject.decide(laterPacket(first, token, 101, 100, 500), now)));
+    }
+    tickFor(600ms);
+    CHECK(underWay() > 15);
+}
+
 } // namespace ebonyway
