Forwarding: learn the answer times of requests that have expired

Cause: a request ended after the time that answers take, at least 1 s, and an answer that came later was not measured. If all answers of a service took longer, that time never rose: the service's requests stopped counting after 1 s, so its pressure was too low. Change: the answer of an expired request still counts for the answer time of its server. Measured: answers after 2 s, 12 requests: the longest answer time stayed 0 and 0.12 requests counted as under way; now above 2 s and 0.9.

--- a/packages/forwarding/connection/flow_table.h
+++ b/packages/forwarding/connection/flow_table.h
@@ -32,6 +32,8 @@
     std::uint8_t offerCount = 0;
     /** The caller has sent a request and acknowledged no part of the answer. */
     bool requestPending = false;
+    /** The last request no longer counts as pending, but an answer may still arrive. */
+    bool requestOverdue = false;
     bool hasCarriedRequest = false; ///< The caller has sent a request before.
     std::uint32_t serviceTag = 0; ///< demandTag() of the service that the flow was placed in.
     std::uint32_t routeTag = 0; ///< demandTag() of the public address.
@@ -40,7 +42,8 @@
     std::uint32_t deliveredSequence = 0; ///< The server must have received all data before this.
     std::uint32_t acknowledged = 0; ///< Highest acknowledgement number of the caller.
     time_point offeredAt; ///< When the last opening packet was forwarded.
-    time_point requestedAt; ///< If requestPending: when the first packet of the request was seen.
+    time_point requestedAt; ///< If requestPending or requestOverdue: when the first packet of the
+                            ///< request was seen.
     time_point lastRetransmission; ///< Start of the caller's last round of retransmissions.
     time_point firstSeen;
     time_point lastSeen;
--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -517,6 +517,10 @@
             } else {
                 m_meter.onAbandoned(record.serviceTag, record.routeTag);
             }
+        } else if (std::exchange(record.requestOverdue, false) && isRecent) {
+            // Without these answers, the time that answers take could never exceed the lifetime of
+            // requests.
+            m_evidence.onAnswerTime(record.server, now - record.requestedAt, now);
         }
     }
     if (packet.dataLength == 0) {
@@ -543,6 +547,7 @@
     }
     if (!record.requestPending) {
         record.requestPending = true;
+        record.requestOverdue = false;
         record.requestedAt = now;
         m_evidence.addBusyFlows(record.server, 1);
         m_requests.emplace_back(now, packet.flow);
@@ -587,6 +592,7 @@
         flow_table_entry *record = m_flows.find(flow);
         if (record && record->requestPending && record->requestedAt == requestedAt) {
             endRequest(*record);
+            record->requestOverdue = true;
         }
     }
 }
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -930,4 +930,25 @@
     CHECK(underWay() > 15);
 }
 
+// Guards against a service with slow answers whose requests never count as under way: the time
+// that answers take was measured only for answers that came within it.
+TEST_CASE_FIXTURE(shedding_fixture, "answers slower than the lifetime, repeated, are waited for")
+{
+    subject.tick(now);
+    const auto [first, token] = openFlow();
+    std::uint32_t sequence = 1;
+    std::uint32_t acknowledged = 1;
+    for (int request = 0; request < 12; ++request) {
+        subject.decide(laterPacket(first, token, sequence, 100, acknowledged), now);
+        tickFor(2s);
+        sequence += 100;
+        acknowledged += 500;
+        subject.decide(laterPacket(first, token, sequence, 0, acknowledged), now);
+    }
+    CHECK(subject.evidence().longestAnswerTime() > 2s);
+    subject.decide(laterPacket(first, token, sequence, 100, acknowledged), now);
+    tickFor(2s);
+    CHECK(underWay() > 0.9);
+}
+
 } // namespace ebonyway
