Forwarding: shed no flow that is open

Cause: a duplicate of an opening packet was taken for a new flow if the flow had opened at another instance and its server had left the directory since; during load shedding the open flow was reset. Change: only flows without an entry, or with an entry that is opening and was never offered, are shed. Measured: the new test failed before the change and passes now.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -266,7 +266,10 @@
         return refuse(packet, forwarding_refusal::NoServerUsable, packet.acknowledged == 0);
     }
     const bool offeredBefore = record && record->offerCount > 0;
-    if (packet.acknowledged == 0 && !offeredBefore && isShed(packet, to, *service)) {
+    // The packet can be a duplicate of one whose flow is open at a server unknown here.
+    const bool isNew =
+            !record || (record->state == flow_table_entry::phase::Opening && !offeredBefore);
+    if (packet.acknowledged == 0 && isNew && isShed(packet, to, *service)) {
         return refuse(packet, forwarding_refusal::LoadShed, true);
     }
     const auto choice = m_placement.choose(inputs(), *service, to.priority,
--- a/tests/forwarding/connection/forwarder_test.cpp
+++ b/tests/forwarding/connection/forwarder_test.cpp
@@ -902,6 +902,21 @@
             subject.decide(laterPacket(elsewhere, token, 1, 100, 1), now)));
 }
 
+// Guards against the reset of an open flow whose server this instance no longer knows, when the
+// network duplicates its opening packet.
+TEST_CASE_FIXTURE(shedding_fixture, "load shedding, open flow of an unknown server, is not reset")
+{
+    shareOverload();
+    const std::uint32_t caller = refusedCaller();
+    const flow_packet first = openingOf(caller);
+    subject.decide(laterPacket(first, tokenOf(server_key{1}), 1, 100, 1), now);
+    directory_builder without{{}};
+    without.apply(store_kind::DesiredState, samples::object(samples::desiredState(1), 1), now);
+    without.apply(store_kind::BackendServers, samples::object(samples::entry(2, "a"), 2), now);
+    subject.adopt(without.snapshot(), now);
+    CHECK_FALSE(isReset(subject.decide(first, now), forwarding_refusal::LoadShed));
+}
+
 // Guards against a service that seems overloaded for 15 s after its servers reset flows, which no
 // instance sees.
 TEST_CASE_FIXTURE(shedding_fixture,
