Forwarding: test admission on routes with a timeout in the closed loop

A route's timeout makes admission refuse all callers, urgent ones too, while the expected delay of the service exceeds it.

--- a/tests/forwarding/connection/flow_admission_test.cpp
+++ b/tests/forwarding/connection/flow_admission_test.cpp
@@ -48,6 +48,8 @@
 struct loop_options
 {
     double workTimeError = 1; ///< Factor on the work times that the instances report.
+    /** Callers are refused if the expected delay is not below it, as in the forwarder; 0: never. */
+    duration timeout{};
 };
 
 /** Results of one priority over a stretch of time. */
@@ -217,7 +219,9 @@
         const std::size_t through =
                 from.domain * InstancesPerDomain + m_random.below(InstancesPerDomain);
         instance &asked = *m_instances[through];
-        if (!asked.admission.admits(Service, from.route, from.address, m_round)) {
+        const bool inTime = m_options.timeout == duration::zero()
+                            || asked.admission.expectedDelay(Service) < m_options.timeout;
+        if (!inTime || !asked.admission.admits(Service, from.route, from.address, m_round)) {
             asked.meter.onRefused(Service, from.route);
             ++m_refusals;
             retry(index);
@@ -371,9 +375,9 @@
 }
 
 /** Checks an overload of 30 s that follows a moderate load. */
-void checkOverload(double load)
+void checkOverload(double load, loop_options options = {})
 {
-    overload_loop loop;
+    overload_loop loop(options);
     loop.run(0.5, 10s);
     const time_point begin = loop.now();
     loop.run(load, 30s);
@@ -464,6 +468,12 @@
     checkOverload(3.0);
 }
 
+// Guards against refusing all callers, urgent ones too, for a delay that was measured a second ago.
+TEST_CASE("closed loop, overload and routes with a timeout, urgent ones are served")
+{
+    checkOverload(1.6, {1, 500ms});
+}
+
 // Guards against sudden troughs that a mean over the whole overload hides.
 TEST_CASE("closed loop, long overload, goodput stays high in every two seconds")
 {
@@ -530,7 +540,7 @@
         for (const double load : {0.5, 0.7, 0.9, 1.6}) {
             CAPTURE(error);
             CAPTURE(load);
-            overload_loop loop({error});
+            overload_loop loop({error, duration::zero()});
             loop.run(0.5, 10s);
             const time_point begin = loop.now();
             loop.run(load, 40s);
