--- a/tests/forwarding/connection/admission_shares_test.cpp
+++ b/tests/forwarding/connection/admission_shares_test.cpp
@@ -214,6 +214,7 @@
             std::swap(order[i], order[random.below(i + 1)]);
         }
         std::vector<admission_group> shuffled;
+        shuffled.reserve(made.size());
         for (const std::size_t index : order) {
             shuffled.push_back(made[index]);
         }
