--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -266,7 +266,10 @@
         return refuse(packet, forwarding_refusal::NoServerUsable, packet.acknowledged == 0);
     }
     const bool offeredBefore = record && record->offerCount > 0;
-    if (packet.acknowledged == 0 && !offeredBefore && isShed(packet, to, *service)) {
+    // The packet can be a duplicate of one whose flow is open at a server unknown here.
+    const bool isNew =
+            !record || (record->state == flow_table_entry::phase::Opening && !offeredBefore);
+    if (packet.acknowledged == 0 && isNew && isShed(packet, to, *service)) {
         return refuse(packet, forwarding_refusal::LoadShed, true);
     }
     const auto choice = m_placement.choose(inputs(), *service, to.priority,
@@ -517,6 +520,10 @@
             } else {
                 m_meter.onAbandoned(record.serviceTag, record.routeTag);
             }
+        } else if (std::exchange(record.requestOverdue, false) && isRecent) {
+            // Without these answers, the time that answers take could never exceed the lifetime of
+            // requests.
+            m_evidence.onAnswerTime(record.server, now - record.requestedAt, now);
         }
     }
     if (packet.dataLength == 0) {
@@ -543,6 +550,7 @@
     }
     if (!record.requestPending) {
         record.requestPending = true;
+        record.requestOverdue = false;
         record.requestedAt = now;
         m_evidence.addBusyFlows(record.server, 1);
         m_requests.emplace_back(now, packet.flow);
@@ -587,6 +595,7 @@
         flow_table_entry *record = m_flows.find(flow);
         if (record && record->requestPending && record->requestedAt == requestedAt) {
             endRequest(*record);
+            record->requestOverdue = true;
         }
     }
 }
