Forwarding: log unknown message versions once per sender

Cause: each refused heartbeat wrote a log line. During a rolling update, an instance of another version sends several a second, and the lines crowd out others in the rate-limited log. Messages that are malformed or too large are logged as before. The log line names the version, or 0 if it is known or unreadable.

--- a/packages/forwarding/edge/forwarding_daemon.cpp
+++ b/packages/forwarding/edge/forwarding_daemon.cpp
@@ -170,9 +170,15 @@
 {
     const auto message = decodePeerMessage(bytes);
     if (!isOk(message)) {
+        const auto version = unknownPeerMessageVersion(bytes);
+        if (version && !m_unknownVersions.addIfNew(from, *version)) {
+            return;
+        }
         m_log.write({log_level::Warn,
                      "peer_message_refused",
-                     {{"from", from.toString()}, {"detail", errorOf(message).message}}});
+                     {{"from", from.toString()},
+                      {"detail", errorOf(message).message},
+                      {"version", std::uint64_t{version.value_or(0)}}}});
         return;
     }
     m_instanceControl.onPeerMessage(valueOf(message), std::chrono::steady_clock::now());
--- a/packages/forwarding/edge/forwarding_daemon.h
+++ b/packages/forwarding/edge/forwarding_daemon.h
@@ -5,6 +5,7 @@
 #include "forwarding/process/forwarding_settings.h"
 #include "forwarding/process/instance_control.h"
 #include "forwarding/process/pause_detector.h"
+#include "forwarding/process/unknown_version_log.h"
 #include "io/datagram_socket.h"
 #include "io/http_client.h"
 #include "io/http_listener.h"
@@ -75,6 +76,7 @@
     http_listener m_metricsListener;
     std::unique_ptr<store_port> m_store;
     datagram_socket m_peerSocket;
+    unknown_version_log m_unknownVersions;
     http_listener m_peerListener;
     std::unique_ptr<http_client> m_peerClient; ///< Client of the peer last asked for knowledge.
     endpoint m_peerClientAddress;
--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -125,6 +125,19 @@
     return decoded;
 }
 
+std::optional<std::uint32_t> unknownPeerMessageVersion(std::span<const std::byte> bytes)
+{
+    try {
+        bounded_reader archive(bytes);
+        std::uint32_t version = 0;
+        archive(version);
+        const bool isKnown = version == MessageVersion || version == PreviousMessageVersion;
+        return isKnown ? std::nullopt : std::optional(version);
+    } catch (const malformed_bytes &) {
+        return std::nullopt;
+    }
+}
+
 std::string encodePositions(const known_positions &positions)
 {
     std::string text;
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -70,6 +70,11 @@
  * LimitExceeded if the message is too large, and with InvalidInput unless it is complete.
  */
 result<peer_message> decodePeerMessage(std::span<const std::byte> bytes);
+/**
+ * Returns the version of a message if decodePeerMessage() does not read that version, and
+ * std::nullopt for the versions that it reads and if the bytes begin with no version.
+ */
+std::optional<std::uint32_t> unknownPeerMessageVersion(std::span<const std::byte> bytes);
 
 /** Encodes positions as text for the path of a request for knowledge. */
 std::string encodePositions(const known_positions &positions);
