Forwarding: encode figures that are not a number as zero

Cause: encodeFigure() converted NaN to an integer, which is undefined. On the machine of the test it gave zero, so the test of it passed before the change, too. Change: NaN becomes zero, as negative figures do. The comment on MaxDemandsReported stated less than 200 bytes for 16 demands; corrected.

--- a/packages/forwarding/connection/service_demand.h
+++ b/packages/forwarding/connection/service_demand.h
@@ -16,10 +16,16 @@
 /** Returns the tag that stands for a route's public address in messages. */
 std::uint32_t demandTag(const endpoint &address);
 
-/** Encodes a non-negative figure in steps of 1/scale. Figures above the range are cut off. */
+/**
+ * Encodes a non-negative figure in steps of 1/scale. Figures above the range are cut off; negative
+ * ones and NaN become zero.
+ */
 template <typename Number>
 Number encodeFigure(double figure, double scale)
 {
+    if (std::isnan(figure)) {
+        return 0;
+    }
     const double most = static_cast<double>(std::numeric_limits<Number>::max());
     return static_cast<Number>(std::clamp(std::round(figure * scale), 0.0, most));
 }
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -56,7 +56,7 @@
 
 /**
  * Maximum number of demands in a heartbeat. An instance's callers rarely use more routes at a time;
- * 16 take less than 200 bytes.
+ * 16 take some 250 bytes, and at most 400 with the largest figures.
  */
 constexpr std::size_t MaxDemandsReported = 16;
 
