Forwarding: follow shorter answers of a loaded service

Cause: the work time of a service that is not lightly loaded was never changed. Change: answers shorter than the work time lower it, with the gain of 1/16. Not measured: the effect on services whose requests take different times. Tests: demand_meter_test.

--- a/packages/forwarding/connection/demand_meter.cpp
+++ b/packages/forwarding/connection/demand_meter.cpp
@@ -71,7 +71,9 @@
     duration &workTime = found->smoothed.workTime;
     if (workTime == duration::zero()) {
         workTime = time;
-    } else if (m_lightlyLoaded.contains(service)) {
+    } else if (m_lightlyLoaded.contains(service) || time < workTime) {
+        // Under load, longer answers contain a wait in the queue, but shorter ones show that the
+        // work takes less time.
         workTime += (time - workTime) / WorkTimeGain;
     }
 }
