Forwarding: ignore load reports that are late or repeated

Cause: a report replaced the last one of its sender in the order of arrival. A late datagram brought back older figures, a repeated one extended their lifetime, and one that arrived after its sender had left counted the sender for up to 2 s more. A leave that arrived after the instance had started again dropped the new report. The own report is exempt, as it changes more often than heartbeats are sent.

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -154,7 +154,7 @@
 {
     m_peers.onMessage(message, now);
     if (message.sender.isLeaving) {
-        m_reports.remove(message.sender.name);
+        m_reports.remove(message.sender, now);
     } else {
         m_reports.add(message.sender, message.loads, message.demands, now);
     }
--- a/packages/forwarding/process/load_reports.cpp
+++ b/packages/forwarding/process/load_reports.cpp
@@ -109,8 +109,12 @@
 void load_reports::add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
                        const std::vector<service_demand> &demands, time_point now)
 {
+    // The own figures change more often than the number of the last heartbeat.
+    if (sender.name != m_self && isOutdated(sender)) {
+        return;
+    }
     report &kept = m_reports[sender.name];
-    kept = report{sender.failureDomain, now, {}, {}};
+    kept = report{sender.failureDomain, sender.boot, sender.heartbeat, false, now, {}, {}};
     std::set<server_key> servers;
     for (const peer_server_load &load : loads) {
         if (!isPlausible(load) || !servers.insert(load.server).second) {
@@ -130,9 +134,22 @@
     }
 }
 
-void load_reports::remove(const std::string &instance)
+void load_reports::remove(const peer_entry &sender, time_point now)
+{
+    if (isOutdated(sender)) {
+        return;
+    }
+    // Kept without figures, as datagrams that were sent before this one may still arrive.
+    m_reports[sender.name] =
+            report{sender.failureDomain, sender.boot, sender.heartbeat, true, now, {}, {}};
+}
+
+bool load_reports::isOutdated(const peer_entry &sender) const
 {
-    m_reports.erase(instance);
+    const auto known = m_reports.find(sender.name);
+    return known != m_reports.end()
+           && std::pair(sender.boot, sender.heartbeat)
+                      <= std::pair(known->second.boot, known->second.heartbeat);
 }
 
 shared_load load_reports::estimate(const std::map<std::string, std::size_t> &instances,
@@ -153,11 +170,12 @@
     using demand_key = std::pair<std::uint32_t, std::uint32_t>;
     std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
-        reporters[one.failureDomain] += now - one.receivedAt <= DemandLifetime ? 1 : 0;
+        reporters[one.failureDomain] +=
+                !one.isLeaving && now - one.receivedAt <= DemandLifetime ? 1 : 0;
     }
     std::map<std::string, std::map<demand_key, demand_sum>> sums;
     for (const auto &[name, one] : m_reports) {
-        if (now - one.receivedAt > DemandLifetime) {
+        if (one.isLeaving || now - one.receivedAt > DemandLifetime) {
             continue;
         }
         const double scale = scaleOf(one.failureDomain, instances, reporters);
@@ -180,11 +198,11 @@
 {
     std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
-        ++reporters[one.failureDomain];
+        reporters[one.failureDomain] += one.isLeaving ? 0 : 1;
     }
     std::map<server_key, usage_sum> sums;
     for (const auto &[name, one] : m_reports) {
-        if (name == m_self) {
+        if (name == m_self || one.isLeaving) {
             continue;
         }
         ++shared.reporters;
--- a/packages/forwarding/process/load_reports.h
+++ b/packages/forwarding/process/load_reports.h
@@ -22,12 +22,14 @@
     /** `self` is the name of this instance, whose own report is added like those of the others. */
     explicit load_reports(std::string self);
 
-    /** Adds a report, which replaces the instance's earlier one. Implausible entries are ignored.
+    /**
+     * Adds a report, which replaces the instance's earlier one. Repeated reports and those older
+     * than the last one of the instance are ignored, and so are implausible entries.
      */
     void add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
              const std::vector<service_demand> &demands, time_point now);
-    /** Drops the report of an instance that leaves. */
-    void remove(const std::string &instance);
+    /** Drops the report of an instance that leaves. Its earlier reports are ignored from now on. */
+    void remove(const peer_entry &sender, time_point now);
 
     /**
      * Estimates the load of all instances. `instances` is the number of known instances in each
@@ -43,11 +45,16 @@
     struct report
     {
         std::string failureDomain;
+        std::uint64_t boot = 0;
+        std::uint64_t heartbeat = 0;
+        bool isLeaving = false;
         time_point receivedAt;
         std::vector<peer_server_load> loads;
         std::vector<service_demand> demands;
     };
 
+    /** Returns whether an instance's last report is as late as the heartbeat or later. */
+    bool isOutdated(const peer_entry &sender) const;
     void sumDemands(const std::map<std::string, std::size_t> &instances, time_point now,
                     shared_load &shared) const;
     void sumServers(const std::map<std::string, std::size_t> &instances, shared_load &shared) const;
