Forwarding: scale the use of servers without this instance

Cause: the ratio of known to reporting instances counted this instance on both sides, but its own use is not in the sum, so the use by the others of its domain came out too small. Change: this instance is left out of both counts for servers. For demands, the own report is in the sum, and nothing changes. Measured: with one of two others reporting, the use was 1.5 times that of the one; it is 2 times now.

--- a/packages/forwarding/process/load_reports.cpp
+++ b/packages/forwarding/process/load_reports.cpp
@@ -196,8 +196,15 @@
 void load_reports::sumServers(const std::map<std::string, std::size_t> &instances,
                               shared_load &shared) const
 {
+    // Without this instance on either side of the ratio, as its use is not in the sums.
+    std::map<std::string, std::size_t> others = instances;
     std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
+        if (name == m_self) {
+            std::size_t &count = others[one.failureDomain];
+            count -= std::min<std::size_t>(count, 1);
+            continue;
+        }
         reporters[one.failureDomain] += one.isLeaving ? 0 : 1;
     }
     std::map<server_key, usage_sum> sums;
@@ -206,7 +213,7 @@
             continue;
         }
         ++shared.reporters;
-        const double scale = scaleOf(one.failureDomain, instances, reporters);
+        const double scale = scaleOf(one.failureDomain, others, reporters);
         for (const peer_server_load &load : one.loads) {
             addScaled(sums[load.server], load, scale);
         }
--- a/tests/forwarding/process/load_reports_test.cpp
+++ b/tests/forwarding/process/load_reports_test.cpp
@@ -282,6 +282,15 @@
     CHECK(sumOfNewFlows(estimate(), "b") == doctest::Approx(20));
 }
 
+// The use by others was scaled as if this instance were one of the others, so it was too small.
+TEST_CASE_FIXTURE(load_reports_fixture, "use of a server, one of two others reports, is doubled")
+{
+    report("self", "a", 12);
+    report("one", "a", 12);
+    REQUIRE(estimate().servers.size() == 1);
+    CHECK(estimate().servers.front().underWay == doctest::Approx(4));
+}
+
 TEST_CASE_FIXTURE(load_reports_fixture, "estimate, only the own report, stands for the own domain")
 {
     report("self", "a", 12);
