Forwarding: take no load report under the own name from peers

Cause: heartbeats under the own name went into the load reports, where they replaced the own one. An earlier process sends them while it stops after the next one of the same name has started. peer_directory ignores them already. Change: instance_control ignores the reports of such heartbeats. Measured: the new test gave a demand of 100 instead of 8 new flows per second before.

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -153,9 +153,11 @@
 void instance_control::onPeerMessage(const peer_message &message, time_point now)
 {
     m_peers.onMessage(message, now);
-    if (message.sender.isLeaving) {
+    // An earlier process of this instance may still send while it stops.
+    const bool isOwnName = message.sender.name == m_peers.self().name;
+    if (!isOwnName && message.sender.isLeaving) {
         m_reports.remove(message.sender, now);
-    } else {
+    } else if (!isOwnName) {
         m_reports.add(message.sender, message.loads, message.demands, now);
     }
     pullKnowledge(now);
--- a/tests/forwarding/process/instance_control_test.cpp
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -25,12 +25,13 @@
     }
     bool isPulling() const override { return pulls.size() > answeredPulls; }
     void publish(std::shared_ptr<const directory> snapshot) override { published = snapshot; }
-    void publishPeerView(peer_view) override { }
+    void publishPeerView(peer_view latest) override { view = std::move(latest); }
 
     std::vector<endpoint> pulls;
     known_positions pulledSince{}; ///< Of the last pull.
     std::size_t answeredPulls = 0;
     std::shared_ptr<const directory> published;
+    peer_view view;
 };
 
 class silent_log : public event_log
@@ -204,4 +205,22 @@
     }
 }
 
+// A process that stops while the next one of the same name has started once replaced its report.
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "own load report, earlier process of the same name sends, stays")
+{
+    for (const bool isLeaving : {false, true}) {
+        CAPTURE(isLeaving);
+        now += 1s;
+        subject.setLoads({}, {{11, 21, 8, 0, 0, 1, 40ms}}, now);
+        peer_message message;
+        message.sender = {"one", "a", peer, 10'000, 5, true, isLeaving};
+        message.demands = {{11, 21, 100, 0, 0, 50, 40ms}};
+        subject.onPeerMessage(message, now);
+        subject.tick(now);
+        REQUIRE(port.view.shared.demands.size() == 1);
+        CHECK(port.view.shared.demands.front().demand.newFlows == 8);
+    }
+}
+
 } // namespace ebonyway
