Forwarding: scale demand to instances that measure it

Cause: heartbeats of version 0x45570004 carry no demands, but their senders counted as reporting instances without demand. During a rolling update the sums were too small by the share of instances not yet replaced, and load shedding began too late. Change: a decoded heartbeat tells whether its sender measures demand; if it does not, its report counts for servers only. Measured: with two of three instances measuring 12 new flows per second each, the sum was 24 when the third counted as a reporter and is 36 now.

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -157,6 +157,8 @@
     const bool isOwnName = message.sender.name == m_peers.self().name;
     if (!isOwnName && message.sender.isLeaving) {
         m_reports.remove(message.sender, now);
+    } else if (!isOwnName && !message.hasDemands) {
+        m_reports.addLoads(message.sender, message.loads, now);
     } else if (!isOwnName) {
         m_reports.add(message.sender, message.loads, message.demands, now);
     }
--- a/packages/forwarding/process/load_reports.cpp
+++ b/packages/forwarding/process/load_reports.cpp
@@ -106,15 +106,19 @@
     : m_self(std::move(self))
 { }
 
-void load_reports::add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
-                       const std::vector<service_demand> &demands, time_point now)
+void load_reports::addLoads(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+                            time_point now)
 {
     // The own figures change more often than the number of the last heartbeat.
     if (sender.name != m_self && isOutdated(sender)) {
         return;
     }
     report &kept = m_reports[sender.name];
-    kept = report{sender.failureDomain, sender.boot, sender.heartbeat, false, now, {}, {}};
+    kept = report{};
+    kept.failureDomain = sender.failureDomain;
+    kept.boot = sender.boot;
+    kept.heartbeat = sender.heartbeat;
+    kept.receivedAt = now;
     std::set<server_key> servers;
     for (const peer_server_load &load : loads) {
         if (!isPlausible(load) || !servers.insert(load.server).second) {
@@ -123,6 +127,17 @@
         }
         kept.loads.push_back(load);
     }
+}
+
+void load_reports::add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+                       const std::vector<service_demand> &demands, time_point now)
+{
+    if (sender.name != m_self && isOutdated(sender)) {
+        return;
+    }
+    addLoads(sender, loads, now);
+    report &kept = m_reports[sender.name];
+    kept.hasDemands = true;
     std::set<std::pair<std::uint32_t, std::uint32_t>> keys;
     for (const service_demand &demand : demands) {
         if (!isPlausible(demand) || !keys.insert({demand.service, demand.route}).second
@@ -140,8 +155,13 @@
         return;
     }
     // Kept without figures, as datagrams that were sent before this one may still arrive.
-    m_reports[sender.name] =
-            report{sender.failureDomain, sender.boot, sender.heartbeat, true, now, {}, {}};
+    report &kept = m_reports[sender.name];
+    kept = report{};
+    kept.failureDomain = sender.failureDomain;
+    kept.boot = sender.boot;
+    kept.heartbeat = sender.heartbeat;
+    kept.isLeaving = true;
+    kept.receivedAt = now;
 }
 
 bool load_reports::isOutdated(const peer_entry &sender) const
@@ -152,6 +172,11 @@
                       <= std::pair(known->second.boot, known->second.heartbeat);
 }
 
+bool load_reports::countsForDemand(const report &one, time_point now)
+{
+    return !one.isLeaving && one.hasDemands && now - one.receivedAt <= DemandLifetime;
+}
+
 shared_load load_reports::estimate(const std::map<std::string, std::size_t> &instances,
                                    time_point now)
 {
@@ -170,12 +195,11 @@
     using demand_key = std::pair<std::uint32_t, std::uint32_t>;
     std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
-        reporters[one.failureDomain] +=
-                !one.isLeaving && now - one.receivedAt <= DemandLifetime ? 1 : 0;
+        reporters[one.failureDomain] += countsForDemand(one, now) ? 1 : 0;
     }
     std::map<std::string, std::map<demand_key, demand_sum>> sums;
     for (const auto &[name, one] : m_reports) {
-        if (one.isLeaving || now - one.receivedAt > DemandLifetime) {
+        if (!countsForDemand(one, now)) {
             continue;
         }
         const double scale = scaleOf(one.failureDomain, instances, reporters);
--- a/packages/forwarding/process/load_reports.h
+++ b/packages/forwarding/process/load_reports.h
@@ -28,6 +28,12 @@
      */
     void add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
              const std::vector<service_demand> &demands, time_point now);
+    /**
+     * Adds a report of an instance that does not measure demand; it counts among those whose demand
+     * is unknown.
+     */
+    void addLoads(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+                  time_point now);
     /** Drops the report of an instance that leaves. Its earlier reports are ignored from now on. */
     void remove(const peer_entry &sender, time_point now);
 
@@ -48,6 +54,7 @@
         std::uint64_t boot = 0;
         std::uint64_t heartbeat = 0;
         bool isLeaving = false;
+        bool hasDemands = false; ///< False if the instance does not measure demand.
         time_point receivedAt;
         std::vector<peer_server_load> loads;
         std::vector<service_demand> demands;
@@ -55,6 +62,7 @@
 
     /** Returns whether an instance's last report is as late as the heartbeat or later. */
     bool isOutdated(const peer_entry &sender) const;
+    static bool countsForDemand(const report &one, time_point now);
     void sumDemands(const std::map<std::string, std::size_t> &instances, time_point now,
                     shared_load &shared) const;
     void sumServers(const std::map<std::string, std::size_t> &instances, shared_load &shared) const;
--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -54,6 +54,7 @@
             archive(position);
         }
         archive(message.sender, message.otherPeers, loads);
+        message.hasDemands = false;
         for (const previous_server_load &one : loads) {
             message.loads.push_back(one.load);
         }
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -40,6 +40,8 @@
     std::vector<peer_entry> otherPeers; ///< Some of the instances that have contacted the sender.
     std::vector<peer_server_load> loads; ///< Load that the sender puts on backend servers.
     std::vector<service_demand> demands{}; ///< Demand of the sender's callers, the largest first.
+    /** False in heartbeats of the previous version, whose senders do not measure demand. */
+    bool hasDemands = true;
 
     template <class Archive>
     void serialize(Archive &archive)
--- a/tests/forwarding/process/load_reports_test.cpp
+++ b/tests/forwarding/process/load_reports_test.cpp
@@ -282,6 +282,20 @@
     CHECK(sumOfNewFlows(estimate(), "b") == doctest::Approx(20));
 }
 
+// In a rolling update, instances of the previous version once counted as ones without demand, and
+// the sums were too small.
+TEST_CASE_FIXTURE(load_reports_fixture, "estimate, some instances do not measure demand, is scaled")
+{
+    report("self", "a", 12);
+    report("one", "a", 12);
+    subject.addLoads(sender("two"), {loadOf(1, 2)}, now);
+    const shared_load shared = estimate();
+    CHECK(sumOfNewFlows(shared, "a") == doctest::Approx(36));
+    CHECK(shared.reporters == 2);
+    REQUIRE(shared.servers.size() == 1);
+    CHECK(shared.servers.front().underWay == doctest::Approx(4));
+}
+
 // The use by others was scaled as if this instance were one of the others, so it was too small.
 TEST_CASE_FIXTURE(load_reports_fixture, "use of a server, one of two others reports, is doubled")
 {
--- a/tests/forwarding/process/peer_message_test.cpp
+++ b/tests/forwarding/process/peer_message_test.cpp
@@ -179,6 +179,7 @@
     CHECK(read.positions == message.positions);
     CHECK(read.otherPeers.size() == 1);
     CHECK(read.demands.empty());
+    CHECK_FALSE(read.hasDemands);
     REQUIRE(read.loads.size() == 2);
     CHECK(read.loads[0].server == server_key{5});
     CHECK(read.loads[0].flowCount == 7);
