Forwarding: limit the own demands as those in heartbeats

Cause: the own report was added with all demands. Those above MaxDemandsReported were ignored as in a report of a peer, and each counted as an implausible entry five times a second in load_report_entries_ignored_total. Change: setLoads() keeps the first 16, which are the largest. Measured: with 20 demands, 4 entries were counted before and none now.

--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -146,6 +146,7 @@
 {
     m_loads = std::move(loads);
     m_demands = std::move(demands);
+    m_demands.resize(std::min(m_demands.size(), MaxDemandsReported));
     m_loadsAt = now;
     m_reports.add(m_peers.self(), m_loads, m_demands, now);
 }
--- a/tests/forwarding/process/instance_control_test.cpp
+++ b/tests/forwarding/process/instance_control_test.cpp
@@ -223,4 +223,18 @@
     }
 }
 
+// Each entry of the own report above the limit of a heartbeat once counted as implausible.
+TEST_CASE_FIXTURE(started_instance_fixture,
+                  "own load report, more demands than a heartbeat has, is cut off without a count")
+{
+    std::vector<service_demand> demands;
+    for (std::uint32_t tag = 1; tag <= MaxDemandsReported + 4; ++tag) {
+        demands.push_back({tag, 21, 8, 0, 0, 1, 40ms});
+    }
+    subject.setLoads({}, demands, now);
+    subject.tick(now + 1s);
+    CHECK(port.view.shared.demands.size() == MaxDemandsReported);
+    CHECK(subject.reports().ignoredEntries() == 0);
+}
+
 } // namespace ebonyway
