--- a/tests/forwarding/connection/deployment_load_test.cpp
+++ b/tests/forwarding/connection/deployment_load_test.cpp
@@ -164,6 +164,20 @@
     CHECK(subject.admissionInputs().front().slots == doctest::Approx(16));
 }
 
+// A cold server takes a few flows only, so its slots are no room either.
+TEST_CASE_FIXTURE(deployment_load_fixture, "server, cold, gives no slots until it is warm")
+{
+    addDemand("a", samples::orderAddress(), 10, 3);
+    registered_server cold = samples::entry(4, "b");
+    cold.coldRemaining = 2'000ms;
+    applyServer(cold);
+    update();
+    CHECK(room("b").slots == doctest::Approx(4));
+    now += 2'500ms;
+    update();
+    CHECK(room("b").slots == doctest::Approx(8));
+}
+
 TEST_CASE_FIXTURE(deployment_load_fixture, "admission input, several routes, has their priorities")
 {
     addDemand("a", samples::orderAddress(), 10, 3);
