Forwarding: lower the work time of a loaded service by the mean

Change: under load the answer times are smoothed by themselves (gain 1/16), and the work time is lowered to their mean if that is smaller. Bound of the test: within 25% of the mean.

--- a/packages/forwarding/connection/demand_meter.cpp
+++ b/packages/forwarding/connection/demand_meter.cpp
@@ -71,10 +71,16 @@
     duration &workTime = found->smoothed.workTime;
     if (workTime == duration::zero()) {
         workTime = time;
-    } else if (m_lightlyLoaded.contains(service) || time < workTime) {
-        // Under load, longer answers contain a wait in the queue, but shorter ones show that the
-        // work takes less time.
+    } else if (m_lightlyLoaded.contains(service)) {
         workTime += (time - workTime) / WorkTimeGain;
+        found->loadedAnswerTime = duration::zero();
+    } else {
+        // Answers under load contain a wait in the queue, so only a mean below the work time shows
+        // that the work takes less time. Single answers do not: requests differ in their work.
+        duration &mean = found->loadedAnswerTime;
+        mean = mean == duration::zero() ? workTime : mean;
+        mean += (time - mean) / WorkTimeGain;
+        workTime = std::min(workTime, mean);
     }
 }
 
--- a/packages/forwarding/connection/demand_meter.h
+++ b/packages/forwarding/connection/demand_meter.h
@@ -50,6 +50,8 @@
         std::uint32_t laterRequests = 0;
         std::uint32_t refused = 0;
 
+        /** Mean answer time while the service is not lightly loaded; zero before the first one. */
+        duration loadedAnswerTime{};
         std::uint32_t pending = 0; ///< Requests that wait for their answers now.
         service_demand smoothed;
     };
--- a/tests/forwarding/connection/demand_meter_test.cpp
+++ b/tests/forwarding/connection/demand_meter_test.cpp
@@ -1,3 +1,4 @@
+#include "core/seeded_random.h"
 #include "forwarding/connection/demand_meter.h"
 
 #include <doctest/doctest.h>
@@ -226,6 +227,28 @@
     CHECK(demand().workTime >= 50ms);
 }
 
+// Answers shorter than the mean once lowered the work time one by one, down to the shortest, and
+// the demand of a loaded service seemed too small.
+TEST_CASE_FIXTURE(demand_meter_fixture,
+                  "work time, heavy load, mixed requests, stays near the mean")
+{
+    seeded_random random(1);
+    const auto answerMixed = [&](duration wait) {
+        for (int request = 0; request < 10; ++request) {
+            answer(wait + std::chrono::milliseconds(20 + random.below(61)));
+        }
+    };
+    repeat(20s, [&] { answerMixed(0ms); });
+    isLightlyLoaded = false;
+    tick();
+    for (const duration wait : {duration(10ms), duration(0ms)}) {
+        repeat(60s, [&] { answerMixed(wait); });
+        CHECK(demand().workTime > 37'500us);
+        CHECK(demand().workTime < 62'500us);
+        MESSAGE("mean 50 ms, wait ", wait / 1ms, " ms: work time ", demand().workTime / 1us, " us");
+    }
+}
+
 // One short answer, for example of an error, must not replace the work time.
 TEST_CASE_FIXTURE(demand_meter_fixture, "work time, one short answer, changes by a sixteenth")
 {
