--- a/packages/forwarding/connection/demand_meter.cpp
+++ b/packages/forwarding/connection/demand_meter.cpp
@@ -73,6 +73,14 @@
         workTime = time;
     } else if (m_lightlyLoaded.contains(service)) {
         workTime += (time - workTime) / WorkTimeGain;
+        found->loadedAnswerTime = duration::zero();
+    } else {
+        // Answers under load contain a wait in the queue, so only a mean below the work time shows
+        // that the work takes less time. Single answers do not: requests differ in their work.
+        duration &mean = found->loadedAnswerTime;
+        mean = mean == duration::zero() ? workTime : mean;
+        mean += (time - mean) / WorkTimeGain;
+        workTime = std::min(workTime, mean);
     }
 }
 
--- a/packages/forwarding/process/instance_control.cpp
+++ b/packages/forwarding/process/instance_control.cpp
@@ -146,6 +146,7 @@
 {
     m_loads = std::move(loads);
     m_demands = std::move(demands);
+    m_demands.resize(std::min(m_demands.size(), MaxDemandsReported));
     m_loadsAt = now;
     m_reports.add(m_peers.self(), m_loads, m_demands, now);
 }
@@ -153,9 +154,13 @@
 void instance_control::onPeerMessage(const peer_message &message, time_point now)
 {
     m_peers.onMessage(message, now);
-    if (message.sender.isLeaving) {
-        m_reports.remove(message.sender.name);
-    } else {
+    // An earlier process of this instance may still send while it stops.
+    const bool isOwnName = message.sender.name == m_peers.self().name;
+    if (!isOwnName && message.sender.isLeaving) {
+        m_reports.remove(message.sender, now);
+    } else if (!isOwnName && !message.hasDemands) {
+        m_reports.addLoads(message.sender, message.loads, now);
+    } else if (!isOwnName) {
         m_reports.add(message.sender, message.loads, message.demands, now);
     }
     pullKnowledge(now);
--- a/packages/forwarding/process/load_reports.cpp
+++ b/packages/forwarding/process/load_reports.cpp
@@ -106,11 +106,19 @@
     : m_self(std::move(self))
 { }
 
-void load_reports::add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
-                       const std::vector<service_demand> &demands, time_point now)
+void load_reports::addLoads(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+                            time_point now)
 {
+    // The own figures change more often than the number of the last heartbeat.
+    if (sender.name != m_self && isOutdated(sender)) {
+        return;
+    }
     report &kept = m_reports[sender.name];
-    kept = report{sender.failureDomain, now, {}, {}};
+    kept = report{};
+    kept.failureDomain = sender.failureDomain;
+    kept.boot = sender.boot;
+    kept.heartbeat = sender.heartbeat;
+    kept.receivedAt = now;
     std::set<server_key> servers;
     for (const peer_server_load &load : loads) {
         if (!isPlausible(load) || !servers.insert(load.server).second) {
@@ -119,6 +127,17 @@
         }
         kept.loads.push_back(load);
     }
+}
+
+void load_reports::add(const peer_entry &sender, const std::vector<peer_server_load> &loads,
+                       const std::vector<service_demand> &demands, time_point now)
+{
+    if (sender.name != m_self && isOutdated(sender)) {
+        return;
+    }
+    addLoads(sender, loads, now);
+    report &kept = m_reports[sender.name];
+    kept.hasDemands = true;
     std::set<std::pair<std::uint32_t, std::uint32_t>> keys;
     for (const service_demand &demand : demands) {
         if (!isPlausible(demand) || !keys.insert({demand.service, demand.route}).second
@@ -130,9 +149,32 @@
     }
 }
 
-void load_reports::remove(const std::string &instance)
+void load_reports::remove(const peer_entry &sender, time_point now)
 {
-    m_reports.erase(instance);
+    if (isOutdated(sender)) {
+        return;
+    }
+    // Kept without figures, as datagrams that were sent before this one may still arrive.
+    report &kept = m_reports[sender.name];
+    kept = report{};
+    kept.failureDomain = sender.failureDomain;
+    kept.boot = sender.boot;
+    kept.heartbeat = sender.heartbeat;
+    kept.isLeaving = true;
+    kept.receivedAt = now;
+}
+
+bool load_reports::isOutdated(const peer_entry &sender) const
+{
+    const auto known = m_reports.find(sender.name);
+    return known != m_reports.end()
+           && std::pair(sender.boot, sender.heartbeat)
+                      <= std::pair(known->second.boot, known->second.heartbeat);
+}
+
+bool load_reports::countsForDemand(const report &one, time_point now)
+{
+    return !one.isLeaving && one.hasDemands && now - one.receivedAt <= DemandLifetime;
 }
 
 shared_load load_reports::estimate(const std::map<std::string, std::size_t> &instances,
@@ -153,11 +195,11 @@
     using demand_key = std::pair<std::uint32_t, std::uint32_t>;
     std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
-        reporters[one.failureDomain] += now - one.receivedAt <= DemandLifetime ? 1 : 0;
+        reporters[one.failureDomain] += countsForDemand(one, now) ? 1 : 0;
     }
     std::map<std::string, std::map<demand_key, demand_sum>> sums;
     for (const auto &[name, one] : m_reports) {
-        if (now - one.receivedAt > DemandLifetime) {
+        if (!countsForDemand(one, now)) {
             continue;
         }
         const double scale = scaleOf(one.failureDomain, instances, reporters);
@@ -178,17 +220,24 @@
 void load_reports::sumServers(const std::map<std::string, std::size_t> &instances,
                               shared_load &shared) const
 {
+    // Without this instance on either side of the ratio, as its use is not in the sums.
+    std::map<std::string, std::size_t> others = instances;
     std::map<std::string, std::size_t> reporters;
     for (const auto &[name, one] : m_reports) {
-        ++reporters[one.failureDomain];
+        if (name == m_self) {
+            std::size_t &count = others[one.failureDomain];
+            count -= std::min<std::size_t>(count, 1);
+            continue;
+        }
+        reporters[one.failureDomain] += one.isLeaving ? 0 : 1;
     }
     std::map<server_key, usage_sum> sums;
     for (const auto &[name, one] : m_reports) {
-        if (name == m_self) {
+        if (name == m_self || one.isLeaving) {
             continue;
         }
         ++shared.reporters;
-        const double scale = scaleOf(one.failureDomain, instances, reporters);
+        const double scale = scaleOf(one.failureDomain, others, reporters);
         for (const peer_server_load &load : one.loads) {
             addScaled(sums[load.server], load, scale);
         }
--- a/packages/forwarding/process/peer_message.cpp
+++ b/packages/forwarding/process/peer_message.cpp
@@ -54,6 +54,7 @@
             archive(position);
         }
         archive(message.sender, message.otherPeers, loads);
+        message.hasDemands = false;
         for (const previous_server_load &one : loads) {
             message.loads.push_back(one.load);
         }
@@ -101,8 +102,9 @@
     std::vector<std::byte> bytes = encode(MessageVersion, message);
     while (bytes.size() > MaxPeerMessageBytes
            && !(message.loads.empty() && message.otherPeers.empty())) {
-        message.loads.resize(message.loads.size() / 2);
-        message.otherPeers.resize(message.otherPeers.size() / 2);
+        // Small steps, as the use of a server that is left out seems smaller than it is.
+        message.loads.resize(message.loads.size() * 7 / 8);
+        message.otherPeers.resize(message.otherPeers.size() * 7 / 8);
         bytes = encode(MessageVersion, message);
     }
     return bytes;
@@ -125,6 +127,19 @@
     return decoded;
 }
 
+std::optional<std::uint32_t> unknownPeerMessageVersion(std::span<const std::byte> bytes)
+{
+    try {
+        bounded_reader archive(bytes);
+        std::uint32_t version = 0;
+        archive(version);
+        const bool isKnown = version == MessageVersion || version == PreviousMessageVersion;
+        return isKnown ? std::nullopt : std::optional(version);
+    } catch (const malformed_bytes &) {
+        return std::nullopt;
+    }
+}
+
 std::string encodePositions(const known_positions &positions)
 {
     std::string text;
--- a/packages/forwarding/process/peer_message.h
+++ b/packages/forwarding/process/peer_message.h
@@ -40,6 +40,8 @@
     std::vector<peer_entry> otherPeers; ///< Some of the instances that have contacted the sender.
     std::vector<peer_server_load> loads; ///< Load that the sender puts on backend servers.
     std::vector<service_demand> demands{}; ///< Demand of the sender's callers, the largest first.
+    /** False in heartbeats of the previous version, whose senders do not measure demand. */
+    bool hasDemands = true;
 
     template <class Archive>
     void serialize(Archive &archive)
@@ -56,7 +58,7 @@
 
 /**
  * Maximum number of demands in a heartbeat. An instance's callers rarely use more routes at a time;
- * 16 take less than 200 bytes.
+ * 16 take some 250 bytes, and at most 400 with the largest figures.
  */
 constexpr std::size_t MaxDemandsReported = 16;
 
@@ -70,6 +72,11 @@
  * LimitExceeded if the message is too large, and with InvalidInput unless it is complete.
  */
 result<peer_message> decodePeerMessage(std::span<const std::byte> bytes);
+/**
+ * Returns the version of a message if decodePeerMessage() does not read that version, and
+ * std::nullopt for the versions that it reads and if the bytes begin with no version.
+ */
+std::optional<std::uint32_t> unknownPeerMessageVersion(std::span<const std::byte> bytes);
 
 /** Encodes positions as text for the path of a request for knowledge. */
 std::string encodePositions(const known_positions &positions);
