Forwarding: delay the first flow of instances that become senders

The first flow to a cold server waits for a random part of the interval, but only at the instance's first request for the server. An instance that became one of the two senders later, because another one had left, sent a flow at once. If the senders leave one after the other, every 100 ms, a server with a cold rate of 0.5 per second got 11 flows within a second; 5.75 are tolerated.

Wait for a random part of the interval whenever an instance becomes a sender. The case is in cold_start_quota_test.cpp, "cold server, its senders leave in turn"; it also failed for 2 per second (11 flows, 8 tolerated) and 4 per second (12 flows, 11 tolerated) with 88 and 300 instances.

--- a/packages/forwarding/connection/cold_start_quota.cpp
+++ b/packages/forwarding/connection/cold_start_quota.cpp
@@ -76,12 +76,17 @@
     server_quota &quota = found->second;
     if (isNew || quota.instancesVersion != m_instancesVersion) {
         quota.instancesVersion = m_instancesVersion;
-        quota.senders = sendersOf(server, failureDomain);
-    }
-    if (isNew) {
-        const std::chrono::duration<double> interval(static_cast<double>(quota.senders)
-                                                     / requestsPerSecond);
-        quota.nextAllowed = now + std::chrono::duration_cast<duration>(interval * m_random.unit());
+        const std::size_t sendersBefore =
+                std::exchange(quota.senders, sendersOf(server, failureDomain));
+        if (sendersBefore == 0 && quota.senders > 0) {
+            // Instances that succeed to senders may not send at once: with many changes in a
+            // second, their first flows would add up to more than the server bears.
+            const std::chrono::duration<double> interval(static_cast<double>(quota.senders)
+                                                         / requestsPerSecond);
+            const auto first =
+                    now + std::chrono::duration_cast<duration>(interval * m_random.unit());
+            quota.nextAllowed = std::max(quota.nextAllowed, first);
+        }
     }
     quota.lastAsked = now;
     return quota.senders > 0 && now >= quota.nextAllowed;
