Forwarding: count the instances of all domains if a domain's list is empty

A cold server whose failure domain was listed without any instance got no flows: the rule for domains without known instances only covered domains that were not listed. The control thread lists no such domain at present, so this removes a dependency on the caller and no observed failure.

--- a/packages/forwarding/connection/cold_start_quota.cpp
+++ b/packages/forwarding/connection/cold_start_quota.cpp
@@ -53,8 +53,9 @@
     std::size_t count = 0;
     bool isListed = false;
     const auto home = m_instances.find(failureDomain);
+    const bool hasHome = home != m_instances.end() && !home->second.empty();
     for (const auto &[domain, names] : m_instances) {
-        if (home != m_instances.end() && domain != failureDomain) {
+        if (hasHome && domain != failureDomain) {
             continue;
         }
         for (const std::string &name : names) {
