Forwarding: return shares that sum to 1 if no domain has slots

domainShares() returned 0 for each domain if none had slots, for example with all servers cold or set aside. Placement fell back to the own domain, so flows were not affected, but the sum of 1 that the interface states did not hold. Flows now stay in the own domain; if that is not listed, the others get equal shares.

--- a/packages/forwarding/connection/domain_spread.cpp
+++ b/packages/forwarding/connection/domain_spread.cpp
@@ -35,7 +35,7 @@
     for (const domain_room &one : domains) {
         room += &one == home ? 0.0 : std::max(0.0, level * one.slots - one.demand);
     }
-    if (room <= 0 && homeHasSlots) {
+    if (home && room <= 0 && (homeHasSlots || slots <= 0)) {
         homeShare = 1;
     }
     const double otherSlots = slots - (home ? home->slots : 0.0);
@@ -50,6 +50,8 @@
             part = std::max(0.0, level * one.slots - one.demand) / room;
         } else if (otherSlots > 0) {
             part = one.slots / otherSlots;
+        } else {
+            part = 1.0 / static_cast<double>(domains.size() - (home ? 1 : 0));
         }
         shares.push_back((1 - homeShare) * part);
     }
