Forwarding: keep slow start after the cold time if a cold server falls silent

The slow start of a cold server begins at the end of its cold time. If the server was set aside before, or answered again after that, the slow start began at that moment. The answers to the few flows of the cold rate then doubled the share every 200 ms, and the server received its full share as soon as the cold time was over.

Begin anew at the start set before if that is later, and at the end of the cold time if the server has recovered.

--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -636,7 +636,9 @@
         if (change.setAside) {
             m_pace.onSilence(change.server, now);
         } else if (!change.answeredOthers) {
-            m_pace.begin(change.server, now);
+            const directory_server *server =
+                    m_directory ? m_directory->byKey(change.server) : nullptr;
+            m_pace.begin(change.server, server ? std::max(now, server->coldUntil) : now);
         }
     }
     m_pace.tick(now);
--- a/packages/forwarding/connection/server_pace.cpp
+++ b/packages/forwarding/connection/server_pace.cpp
@@ -48,8 +48,9 @@
 
 void server_pace::onSilence(server_key server, time_point now)
 {
-    if (m_slowStarts.contains(server)) {
-        begin(server, now);
+    const auto found = m_slowStarts.find(server);
+    if (found != m_slowStarts.end()) {
+        begin(server, std::max(now, found->second.beganAt));
     }
 }
 
--- a/packages/forwarding/connection/server_pace.h
+++ b/packages/forwarding/connection/server_pace.h
@@ -29,7 +29,10 @@
     void begin(server_key server, time_point now);
     /** The server has answered a request of this instance; `usual` is the time others take. */
     void onAnswer(server_key server, duration time, duration usual, time_point now);
-    /** The server did not answer or was set aside; a slow start under way begins anew. */
+    /**
+     * The server did not answer or was set aside; a slow start under way begins anew, but not
+     * before its start.
+     */
     void onSilence(server_key server, time_point now);
     /** Another instance reports when the server last answered and its mean answer time, or zero. */
     void onPeerAnswer(server_key server, time_point at, duration time, duration usual);
