Forwarding: count a repeated report of an answer once in slow start

Heartbeats repeat the last answer of a server. Within a step of slow start, each repetition counted as another answer, so that six reports of one slow answer of a peer outweighed three good answers of this instance. The time of an answer is derived from the time at which the report is read; if a repetition was read later than the first report, the same answer could also count for a later step.

Keep the time of the last reported answer that was counted, and ignore reports of answers up to 50 ms after it.

--- a/packages/forwarding/connection/server_pace.cpp
+++ b/packages/forwarding/connection/server_pace.cpp
@@ -17,6 +17,10 @@
 // figures of other instances arrive.
 constexpr duration StepInterval = 200ms;
 
+// Reports repeat the last answer of a server, and the time of the answer is derived from the time
+// at which the report is read. Answers of peers within this time count as one.
+constexpr duration SameAnswerTolerance = 50ms;
+
 // Answer time relative to the usual one above which the share is reduced. Requests that happen to
 // wait for one other take twice as long.
 constexpr double MaxRelativeTime = 2;
@@ -25,7 +29,7 @@
 
 void server_pace::begin(server_key server, time_point now)
 {
-    m_slowStarts[server] = slow_start{FirstShare, now, now, 0, {}, {}};
+    m_slowStarts[server] = slow_start{FirstShare, now, now, {}, 0, {}, {}};
     m_changes.push_back({server, FirstShare, {}});
 }
 
@@ -57,10 +61,12 @@
 void server_pace::onPeerAnswer(server_key server, time_point at, duration time, duration usual)
 {
     const auto found = m_slowStarts.find(server);
-    // Reports repeat the last answer; only answers since the last step count.
-    if (found != m_slowStarts.end() && at > found->second.lastStep) {
-        addAnswer(found->second, time, usual);
+    if (found == m_slowStarts.end() || at <= found->second.lastStep
+        || at <= found->second.lastPeerAnswer + SameAnswerTolerance) {
+        return;
     }
+    found->second.lastPeerAnswer = at;
+    addAnswer(found->second, time, usual);
 }
 
 void server_pace::forget(server_key server)
--- a/packages/forwarding/connection/server_pace.h
+++ b/packages/forwarding/connection/server_pace.h
@@ -53,6 +53,7 @@
         double share = 1;
         time_point beganAt;
         time_point lastStep;
+        time_point lastPeerAnswer; ///< Latest reported answer that was counted.
         // Answers since the last step.
         std::uint32_t answers = 0;
         duration answerTime{}; ///< Sum over the answers whose times are known.
