Forwarding: look up less for the choice of a server

The load of the service was looked up twice for each choice, and each sampled server was hashed to see whether it is reserved even if no server is. A choice among sampled servers now takes 2,921 instructions instead of 3,180 (120 servers, callgrind); what is chosen does not change: the simulated queues of placement_wait_test.cpp have the same waits as before.

--- a/packages/forwarding/connection/placement.cpp
+++ b/packages/forwarding/connection/placement.cpp
@@ -115,7 +115,7 @@
     const service_room *room = inputs.load.find(service);
     limits.isQueueing = room && room->usual.requestsPerSlot > 1;
     if (inputs.servers.candidates(service).size() > MaxServersExamined) {
-        auto sampled = chooseFromSample(inputs, service, limits, priority, previous, now);
+        auto sampled = chooseFromSample(inputs, service, limits, room, priority, previous, now);
         if (sampled && sampled->tier == placement_tier::Warm) {
             return sampled;
         }
@@ -172,10 +172,10 @@
 
 std::optional<placement_choice>
 placement::chooseFromSample(const placement_inputs &inputs, const std::string &service,
-                            const server_limits &limits, std::uint32_t priority,
-                            const flow_table_entry *previous, time_point now)
+                            const server_limits &limits, const service_room *room,
+                            std::uint32_t priority, const flow_table_entry *previous,
+                            time_point now)
 {
-    const service_room *room = inputs.load.find(service);
     const auto &byDomain = inputs.servers.candidatesByDomain(service);
     const auto found = byDomain.find(drawDomain(room));
     if (found == byDomain.end()) {
@@ -195,7 +195,7 @@
         const server_condition &state = inputs.evidence.condition(server.entry.key);
         const server_queue queue = queueOf(inputs.load, server, state);
         duration wait = expectedWait(queue, usual);
-        if (isReserved(server.entry.key, reserved)) {
+        if (reserved > 0 && isReserved(server.entry.key, reserved)) {
             wait *= ReservedServerFactor;
         }
         const bool isBetter = !best || *tier < best->tier || wait < best->wait;
--- a/packages/forwarding/connection/placement.h
+++ b/packages/forwarding/connection/placement.h
@@ -90,9 +90,10 @@
                                                   const std::string &service,
                                                   const server_limits &limits,
                                                   const flow_table_entry *previous, time_point now);
+    /** `room` is the load of the service, or nullptr without demand for it. */
     std::optional<placement_choice>
     chooseFromSample(const placement_inputs &inputs, const std::string &service,
-                     const server_limits &limits, std::uint32_t priority,
+                     const server_limits &limits, const service_room *room, std::uint32_t priority,
                      const flow_table_entry *previous, time_point now);
     /** Draws the failure domain for a new flow by the shares of the domains. */
     const std::string &drawDomain(const service_room *room);
