--- a/tests/forwarding/connection/cold_start_quota_test.cpp
+++ b/tests/forwarding/connection/cold_start_quota_test.cpp
@@ -118,7 +118,7 @@
     /** Ends an instance and returns its name and domain. */
     std::pair<std::string, std::string> leave(std::size_t index)
     {
-        const std::pair ended(members[index].name, members[index].domain);
+        std::pair ended(members[index].name, members[index].domain);
         members.erase(members.begin() + static_cast<std::ptrdiff_t>(index));
         const membership_notice notice{now, ended.first, ended.second, ++lastNumber, false};
         for (member &one : members) {
