Emulator: limited bursts, varying work times, counts of refusals and waits

Load management decides by failure domain, by kind and by the caller's address, which the model could not vary: a burst raised all callers alike, and 60,000 flows came from one address, so that admission control let through all of them or none.

A burst may be limited to one failure domain or one kind of request, strengths may be decimal, work times may vary and differ by kind, and a scenario may say how many caller addresses a domain has (callersPerDomain). The report counts requests that full servers reject, opening packets that they ignore, resets because of load shedding, and waits by kind and by the callers' domain. Draws of new kinds come from generators of their own.

--- a/packages/core/settings_reader.cpp
+++ b/packages/core/settings_reader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 namespace ebonyway {
@@ -147,6 +148,21 @@
     return has(key) ? integer(key, least, most) : fallback;
 }
 
+double settings_reader::numberOr(const std::string &key, double least, double most, double fallback)
+{
+    const Json::Value *value = find(key);
+    if (!value) {
+        return fallback;
+    }
+    if (!value->isNumeric() || value->asDouble() < least || value->asDouble() > most) {
+        std::ostringstream remedy;
+        remedy << "Write a number from " << least << " to " << most << ", without quotes.";
+        fail(key, compactJson(*value), remedy.str());
+        return fallback;
+    }
+    return value->asDouble();
+}
+
 bool settings_reader::flagOr(const std::string &key, bool fallback)
 {
     const Json::Value *value = find(key);
--- a/packages/core/settings_reader.h
+++ b/packages/core/settings_reader.h
@@ -42,6 +42,8 @@
     /** Optional integer within [least, most]. */
     std::uint64_t integerOr(const std::string &key, std::uint64_t least, std::uint64_t most,
                             std::uint64_t fallback);
+    /** Optional number, whole or decimal, within [least, most]. */
+    double numberOr(const std::string &key, double least, double most, double fallback);
     /** Optional true or false. */
     bool flagOr(const std::string &key, bool fallback);
     /** Required numeric IP address. */
--- a/packages/emulator/emulated_caller.cpp
+++ b/packages/emulator/emulated_caller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 #include <utility>
 
 namespace ebonyway {
@@ -37,8 +38,58 @@
     , m_queue(queue)
     , m_random(random)
     , m_port(port)
+    , m_rateFactors(plan.traffic.size(), std::vector<double>(plan.failureDomains.size(), 1))
 { }
 
+void emulated_callers::setRate(double factor, const std::string &failureDomain,
+                               const std::string &traffic)
+{
+    for (std::size_t i = 0; i < m_plan.traffic.size(); ++i) {
+        if (!traffic.empty() && kindOf(i).name != traffic) {
+            continue;
+        }
+        for (std::size_t domain = 0; domain < m_plan.failureDomains.size(); ++domain) {
+            if (failureDomain.empty() || m_plan.failureDomains[domain] == failureDomain) {
+                m_rateFactors[i][domain] = factor;
+            }
+        }
+    }
+}
+
+double emulated_callers::rateFactor(std::size_t traffic) const
+{
+    const std::vector<double> &factors = m_rateFactors[traffic];
+    return std::accumulate(factors.begin(), factors.end(), 0.0)
+           / static_cast<double>(factors.size());
+}
+
+std::size_t emulated_callers::drawDomain(std::size_t traffic)
+{
+    const std::vector<double> &factors = m_rateFactors[traffic];
+    if (std::all_of(factors.begin(), factors.end(),
+                    [&](double factor) { return factor == factors.front(); })) {
+        return m_random.below(factors.size());
+    }
+    double rest = m_random.unit() * std::accumulate(factors.begin(), factors.end(), 0.0);
+    for (std::size_t i = 0; i + 1 < factors.size(); ++i) {
+        if (rest < factors[i]) {
+            return i;
+        }
+        rest -= factors[i];
+    }
+    return factors.size() - 1;
+}
+
+endpoint emulated_callers::sourceOf(const request &wanted)
+{
+    const std::uint64_t number =
+            m_plan.callersPerDomain > 0 ? m_portsUsed[wanted.caller]++ : m_nextFlow++;
+    const std::uint64_t address =
+            m_plan.callersPerDomain > 0 ? wanted.caller : number / PortsPerCaller;
+    return {ip_address::fromV4(CallerNetwork + static_cast<std::uint32_t>(address)),
+            static_cast<std::uint16_t>(FirstPort + number % PortsPerCaller)};
+}
+
 void emulated_callers::start(time_point end)
 {
     m_end = end;
@@ -49,7 +100,7 @@
 
 void emulated_callers::scheduleNext(std::size_t traffic)
 {
-    const double rate = kindOf(traffic).rate * m_rateFactor;
+    const double rate = kindOf(traffic).rate * rateFactor(traffic);
     if (rate <= 0) {
         return;
     }
@@ -58,8 +109,12 @@
         if (m_queue.now() >= m_end) {
             return;
         }
-        const auto &domains = m_plan.failureDomains;
-        const request wanted = newRequest(traffic, domains[m_random.below(domains.size())]);
+        const std::size_t domain = drawDomain(traffic);
+        request wanted = newRequest(traffic, m_plan.failureDomains[domain]);
+        if (m_plan.callersPerDomain > 0) {
+            wanted.caller =
+                    domain * m_plan.callersPerDomain + m_random.below(m_plan.callersPerDomain);
+        }
         open(wanted, kindOf(traffic).requestsPerFlow);
         scheduleNext(traffic);
     });
@@ -68,18 +123,14 @@
 emulated_callers::request emulated_callers::newRequest(std::size_t traffic,
                                                        const std::string &failureDomain)
 {
-    request made{++m_nextRequest, traffic, failureDomain, m_queue.now(), 0};
+    request made{++m_nextRequest, traffic, failureDomain, m_queue.now(), 0, 0};
     m_queue.after(kindOf(traffic).timeLimit, [this, number = made.number] { onTimeLimit(number); });
     return made;
 }
 
 void emulated_callers::open(const request &wanted, std::uint32_t requestsLeft)
 {
-    const std::uint64_t number = m_nextFlow++;
-    const auto caller = static_cast<std::uint32_t>(number / PortsPerCaller);
-    const auto port = static_cast<std::uint16_t>(FirstPort + number % PortsPerCaller);
-    const flow_id flow{{ip_address::fromV4(CallerNetwork + caller), port},
-                       trafficAddress(wanted.traffic)};
+    const flow_id flow{sourceOf(wanted), trafficAddress(wanted.traffic)};
     caller_flow &state = m_flows[flow];
     state.current = wanted;
     ++state.current.attempts;
@@ -256,7 +307,9 @@
                 return;
             }
             caller_flow &next = found->second;
+            const std::uint64_t caller = next.current.caller;
             next.current = newRequest(next.current.traffic, next.current.failureDomain);
+            next.current.caller = caller;
             next.current.attempts = 1;
             m_flowOf[next.current.number] = flow;
             beginRequest(flow, next);
--- a/packages/emulator/emulated_caller.h
+++ b/packages/emulator/emulated_caller.h
@@ -44,8 +44,12 @@
     /** A reset from an instance. */
     void onReset(const flow_id &flow);
 
-    /** Multiplies the rate of new requests. */
-    void setRate(double factor) { m_rateFactor = factor; }
+    /**
+     * Multiplies the rate of new flows of one kind, or of all kinds if `traffic` is empty, from the
+     * callers of one failure domain, or of all domains if `failureDomain` is empty.
+     */
+    void setRate(double factor, const std::string &failureDomain = "",
+                 const std::string &traffic = "");
 
 private:
     /** A request with all its attempts. */
@@ -56,6 +60,7 @@
         std::string failureDomain;
         time_point startedAt;
         std::uint32_t attempts = 0;
+        std::uint64_t caller = 0; ///< Number of the caller's address, if the scenario has callers.
     };
     struct caller_flow
     {
@@ -74,6 +79,9 @@
         std::uint32_t requestsLeft = 0;
     };
 
+    double rateFactor(std::size_t traffic) const;
+    std::size_t drawDomain(std::size_t traffic);
+    endpoint sourceOf(const request &wanted);
     void scheduleNext(std::size_t traffic);
     request newRequest(std::size_t traffic, const std::string &failureDomain);
     void open(const request &wanted, std::uint32_t requestsLeft);
@@ -95,7 +103,8 @@
     seeded_random &m_random;
     caller_port &m_port;
     time_point m_end;
-    double m_rateFactor = 1;
+    std::vector<std::vector<double>> m_rateFactors; ///< By kind and failure domain.
+    std::map<std::uint64_t, std::uint64_t> m_portsUsed; ///< By the number of the address.
     std::uint64_t m_nextFlow = 0;
     std::uint64_t m_nextRequest = 0;
     std::uint64_t m_nextTimer = 0;
--- a/packages/emulator/emulated_server.cpp
+++ b/packages/emulator/emulated_server.cpp
@@ -1,5 +1,8 @@
 #include "emulator/emulated_server.h"
 
+#include <chrono>
+#include <cmath>
+#include <numbers>
 #include <utility>
 
 namespace ebonyway {
@@ -14,11 +17,27 @@
 
 } // namespace
 
-emulated_server::emulated_server(registered_server entry, duration workTime)
+emulated_server::emulated_server(registered_server entry, work_times work, std::uint64_t seed)
     : m_entry(std::move(entry))
-    , m_workTime(workTime)
+    , m_work(std::move(work))
+    , m_random(seed)
 { }
 
+duration emulated_server::drawWork(const endpoint &address)
+{
+    const auto found = m_work.byAddress.find(address);
+    const duration mean = found == m_work.byAddress.end() ? m_work.usual : found->second;
+    if (m_work.spread <= 0) {
+        return mean;
+    }
+    // The normal deviate of Box and Muller; 1 - unit() is never zero.
+    const double radius = std::sqrt(-2 * std::log(1 - m_random.unit()));
+    const double normal = radius * std::cos(2 * std::numbers::pi * m_random.unit());
+    const double variance = std::log(1 + m_work.spread * m_work.spread);
+    return std::chrono::duration_cast<duration>(
+            mean * std::exp(std::sqrt(variance) * normal - variance / 2));
+}
+
 void emulated_server::setMood(server_mood mood)
 {
     m_mood = mood;
@@ -52,6 +71,7 @@
     }
     if (packet.header.opens) {
         if (isFull()) {
+            reaction.ignored = true;
             return reaction;
         }
         m_offered[flow] = packet.header.token;
@@ -109,6 +129,7 @@
     held.queued = packet.attempt;
     held.lastAnswer.reset();
     if (isFull()) {
+        reaction.rejected = true;
         held.lastAnswer = reply(packet, server_packet::content::NotRun);
         held.lastAnswer->acknowledged = held.received;
         reaction.packets.push_back(*held.lastAnswer);
@@ -127,8 +148,9 @@
     }
     while (m_working < m_entry.slots && !m_queue.empty()) {
         ++m_working;
-        const std::uint32_t factor = m_workFactor * (isCold(now) ? ColdFactor : 1);
-        started.push_back({m_queue.front(), m_workTime * factor});
+        const double factor = m_workFactor * (isCold(now) ? ColdFactor : 1);
+        const duration work = drawWork(m_queue.front().flow.service);
+        started.push_back({m_queue.front(), std::chrono::duration_cast<duration>(work * factor)});
         m_queue.pop_front();
     }
     return started;
--- a/packages/emulator/emulated_server.h
+++ b/packages/emulator/emulated_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/seeded_random.h"
 #include "core/time.h"
 #include "emulator/emulated_packet.h"
 #include "forwarding/version/store_objects.h"
@@ -20,6 +21,14 @@
     Hanging, ///< Accepts flows and data, and answers no request.
 };
 
+/** How long a server works on requests. */
+struct work_times
+{
+    duration usual{}; ///< Mean of one request.
+    std::map<endpoint, duration> byAddress; ///< Means of requests to these public addresses.
+    double spread = 0; ///< Coefficient of variation; the times are log-normal.
+};
+
 /** Work that a server has begun; the emulation ends it after its time. */
 struct started_work
 {
@@ -32,14 +41,16 @@
 {
     std::vector<server_packet> packets;
     bool opened = false; ///< The flow has just opened here.
+    bool ignored = false; ///< A full server does not answer an opening packet.
+    bool rejected = false; ///< The request does not run because the server is full.
     std::optional<attempt_id> began; ///< The server has taken this request to run it.
 };
 
-/** A backend server: flows, slots and a queue of requests. Pure. */
+/** A backend server: flows, slots and a queue of requests. Pure; `seed` draws the work times. */
 class emulated_server
 {
 public:
-    emulated_server(registered_server entry, duration workTime);
+    emulated_server(registered_server entry, work_times work, std::uint64_t seed);
 
     server_reaction onPacket(const caller_packet &packet);
     /** Begins queued requests while slots are free. */
@@ -54,7 +65,7 @@
     {
         return m_mood == server_mood::Serving || m_mood == server_mood::Draining;
     }
-    void setWorkFactor(std::uint32_t factor) { m_workFactor = factor; }
+    void setWorkFactor(double factor) { m_workFactor = factor; }
     void setColdUntil(time_point until) { m_coldUntil = until; }
     time_point coldUntil() const { return m_coldUntil; }
     bool isCold(time_point now) const { return now < m_coldUntil; }
@@ -74,13 +85,16 @@
     };
 
     bool isFull() const;
+    /** Draws the time of a request to the address on a server that is neither slow nor cold. */
+    duration drawWork(const endpoint &address);
     server_reaction onRequest(const caller_packet &packet, held_flow &held);
     server_packet reply(const caller_packet &packet, server_packet::content what) const;
 
     registered_server m_entry;
-    duration m_workTime;
+    work_times m_work;
+    seeded_random m_random;
     server_mood m_mood = server_mood::Serving;
-    std::uint32_t m_workFactor = 1;
+    double m_workFactor = 1;
     time_point m_coldUntil;
     std::uint64_t m_life = 0;
     std::uint32_t m_working = 0;
--- a/packages/emulator/emulation.cpp
+++ b/packages/emulator/emulation.cpp
@@ -116,7 +116,16 @@
     entry.failureDomain = failureDomain;
     entry.slots = service.slots;
     entry.startedAt = std::chrono::milliseconds(number);
-    m_servers.emplace(entry.key, emulated_server(entry, service.work));
+    work_times work{service.work, {}, service.workSpread};
+    for (std::size_t i = 0; i < m_plan.traffic.size(); ++i) {
+        const traffic_kind &kind = m_plan.traffic[i];
+        if (kind.service == service.name && kind.work > kind.work.zero()) {
+            work.byAddress[trafficAddress(i)] = kind.work;
+        }
+    }
+    // Seeded apart from m_random, so that varying work times change no other draw.
+    const std::uint64_t workSeed = seeded_random(m_options.seed ^ (number << 32U)).next();
+    m_servers.emplace(entry.key, emulated_server(entry, std::move(work), workSeed));
     if (cold) {
         makeCold(entry.key);
         entry.coldRemaining = service.coldTime;
@@ -199,6 +208,8 @@
         m_monitor.onPacketArrived(packet, key, isHeld, instance);
     }
     const server_reaction reaction = server.onPacket(packet);
+    m_report.ignoredOpenings += reaction.ignored ? 1 : 0;
+    m_report.rejectedByServers += reaction.rejected ? 1 : 0;
     if (reaction.opened) {
         m_holder[packet.header.flow] = key;
         m_monitor.onOpened(packet, server.entry(), server.isCold(m_queue.now()));
@@ -261,6 +272,7 @@
 void emulation::sendReset(const place &from, const caller_packet &packet, forwarding_refusal reason)
 {
     ++m_report.resets;
+    m_report.loadShed += reason == forwarding_refusal::LoadShed ? 1 : 0;
     m_network.send(from, CallersPlace, [this, packet, reason, instance = from.id] {
         const flow_id &flow = packet.header.flow;
         server_key holder;
@@ -300,13 +312,19 @@
     });
 }
 
-void emulation::onRequestEnd(std::size_t traffic, const std::string &, time_point startedAt,
-                             request_outcome outcome)
+void emulation::onRequestEnd(std::size_t traffic, const std::string &failureDomain,
+                             time_point startedAt, request_outcome outcome)
 {
     const auto second =
             std::chrono::duration_cast<std::chrono::seconds>(startedAt - m_loadStart).count();
-    for (outcome_counts *counts : {&m_report.all, &m_report.byTraffic[m_plan.traffic[traffic].name],
-                                   &m_report.bySecond[second]}) {
+    const std::string &kind = m_plan.traffic[traffic].name;
+    if (outcome != request_outcome::Failed) {
+        const duration wait = m_queue.now() - startedAt;
+        m_report.waitsByTraffic[kind].add(wait);
+        m_report.waitsByDomain[failureDomain].add(wait);
+    }
+    for (outcome_counts *counts : {&m_report.all, &m_report.byTraffic[kind],
+                                   &m_report.byDomain[failureDomain], &m_report.bySecond[second]}) {
         switch (outcome) {
         case request_outcome::InGoal:
             ++counts->inGoal;
--- a/packages/emulator/emulation_events.cpp
+++ b/packages/emulator/emulation_events.cpp
@@ -51,8 +51,10 @@
     } else if (kind.starts_with("route_")) {
         playOnRoutes(event);
     } else if (kind == "burst") {
-        m_callers.setRate(event.strength);
-        m_queue.after(event.length, [this] { m_callers.setRate(1); });
+        m_callers.setRate(event.strength, event.failureDomain, event.traffic);
+        m_queue.after(event.length, [this, domain = event.failureDomain, traffic = event.traffic] {
+            m_callers.setRate(1, domain, traffic);
+        });
     }
 }
 
@@ -305,12 +307,13 @@
         return;
     }
     if (event.kind == "store_slow") {
-        m_store.setSlowness(std::max(1U, event.strength));
+        m_store.setSlowness(std::max(1U, static_cast<std::uint32_t>(event.strength)));
         m_queue.after(event.length, [this] { m_store.setSlowness(1); });
         return;
     }
     if (event.kind == "store_restored") {
-        const time_point copyTime = m_queue.now() - std::chrono::seconds(event.strength);
+        const std::chrono::duration<double> age(event.strength);
+        const time_point copyTime = m_queue.now() - std::chrono::duration_cast<duration>(age);
         m_monitor.noteStoreDisturbed(m_queue.now() + event.length + RewriteDelay);
         m_store.setCondition(store_condition::Silent);
         m_queue.after(event.length, [this, copyTime] {
--- a/packages/emulator/scenario.cpp
+++ b/packages/emulator/scenario.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t MostRate = 100'000; // per second
 constexpr std::uint64_t MostBytes = 10'000'000;
 constexpr std::uint64_t MostSteps = 10'000;
+constexpr std::uint64_t MostCallersPerDomain = 100'000;
+constexpr double MostSpread = 5;
 
 constexpr std::uint32_t PublicNetwork = 0xc6120000; // 198.18.0.0
 constexpr std::uint16_t PublicPort = 8'443;
@@ -34,6 +36,7 @@
     service.slots = count(reader, "slots", MostServers, service.slots);
     service.maxConnections = count(reader, "maxConnections", MostRate, service.maxConnections);
     service.work = reader.durationOr("work", 1ms, 1min, service.work);
+    service.workSpread = reader.numberOr("workSpread", 0, MostSpread, service.workSpread);
     service.coldTime = reader.durationOr("coldTime", 0ms, LongestDay, service.coldTime);
     service.coldRate = count(reader, "coldRate", MostRate, service.coldRate);
     return service;
@@ -48,6 +51,7 @@
     kind.requestsPerFlow = count(reader, "requestsPerFlow", MostSteps, kind.requestsPerFlow);
     kind.pause = reader.durationOr("pause", 0ms, LongestDay, kind.pause);
     kind.requestBytes = count(reader, "requestBytes", MostBytes, kind.requestBytes);
+    kind.work = reader.durationOr("work", 0ms, 1min, kind.work);
     kind.idempotent = reader.choice("repeatable", {"yes", "no"}, "no") == "yes";
     kind.priority = count(reader, "priority", MostSteps, kind.priority);
     kind.goal = reader.durationOr("goal", 1ms, LongestDay, kind.goal);
@@ -64,10 +68,13 @@
     event.length = reader.durationOr("length", 0ms, LongestDay, event.length);
     event.gap = reader.durationOr("gap", 1ms, LongestDay, event.gap);
     event.count = count(reader, "count", MostServers, event.count);
-    event.strength = count(reader, "strength", MostServers, event.strength);
+    event.strength = reader.numberOr("strength", 0, MostServers, event.strength);
     if (reader.has("failureDomain")) {
         event.failureDomain = reader.text("failureDomain");
     }
+    if (reader.has("traffic")) {
+        event.traffic = reader.text("traffic");
+    }
     return event;
 }
 
@@ -112,6 +119,29 @@
                          "Add it to services or name another one."};
         }
     }
+    for (const scenario_event &event : plan.events) {
+        const bool exists = event.traffic.empty()
+                            || std::any_of(plan.traffic.begin(), plan.traffic.end(),
+                                           [&](const traffic_kind &kind) {
+                                               return kind.name == event.traffic;
+                                           });
+        if (!exists) {
+            return error{error_kind::InvalidInput,
+                         file + ": event " + event.kind + " names the traffic " + event.traffic
+                                 + ", which does not exist",
+                         "Add it to traffic or name another one."};
+        }
+        const bool domainExists = event.failureDomain.empty()
+                                  || std::find(plan.failureDomains.begin(),
+                                               plan.failureDomains.end(), event.failureDomain)
+                                             != plan.failureDomains.end();
+        if (!domainExists) {
+            return error{error_kind::InvalidInput,
+                         file + ": event " + event.kind + " names the failure domain "
+                                 + event.failureDomain + ", which does not exist",
+                         "Name one of the first letters, as many as failureDomains says."};
+        }
+    }
     if (plan.traffic.empty() || plan.failureDomains.empty()) {
         return error{error_kind::InvalidInput, file + ": there is no traffic or no failure domain",
                      "Give at least one of each."};
@@ -139,6 +169,8 @@
     settings_reader reader(file, "", root);
     plan.instancesPerDomain =
             count(reader, "instancesPerDomain", MostInstancesPerDomain, plan.instancesPerDomain);
+    plan.callersPerDomain =
+            count(reader, "callersPerDomain", MostCallersPerDomain, plan.callersPerDomain);
     plan.hash = reader.choice("hash", {"modulo", "steady"}, "modulo") == "steady"
                         ? router_hash::Steady
                         : router_hash::Modulo;
--- a/packages/emulator/scenario.h
+++ b/packages/emulator/scenario.h
@@ -24,7 +24,8 @@
     std::uint32_t servers = 6; ///< Over all failure domains.
     std::uint32_t slots = 4;
     std::uint32_t maxConnections = 2'000; ///< Of one server.
-    std::chrono::milliseconds work{50}; ///< Of one request.
+    std::chrono::milliseconds work{50}; ///< Mean of one request.
+    double workSpread = 0; ///< Coefficient of variation of the work times (log-normal).
     std::chrono::milliseconds coldTime{2'000};
     std::uint32_t coldRate = 10; ///< Requests per second that a cold server bears.
 };
@@ -38,6 +39,7 @@
     std::uint32_t requestsPerFlow = 1;
     std::chrono::milliseconds pause{0}; ///< Between the requests of a flow.
     std::uint32_t requestBytes = 300;
+    std::chrono::milliseconds work{0}; ///< Mean of one request; zero: as the service says.
     bool idempotent = false;
     std::uint32_t priority = 0; ///< Zero is the most important.
     std::chrono::milliseconds goal{300};
@@ -53,8 +55,9 @@
     std::chrono::milliseconds length{5'000};
     std::chrono::milliseconds gap{1'000}; ///< Between the steps of rolling work.
     std::uint32_t count = 1; ///< Of instances or servers.
-    std::uint32_t strength = 1; ///< A factor, a loss in percent, or the age of a copy in seconds.
-    std::string failureDomain; ///< Empty: the seed chooses.
+    double strength = 1; ///< A factor, a loss in percent, or the age of a copy in seconds.
+    std::string failureDomain; ///< Empty: the seed chooses, and a burst has callers of all.
+    std::string traffic; ///< Kind of request of a burst; empty: all kinds.
 };
 
 /** Times within which the promises hold. */
@@ -73,6 +76,11 @@
     std::vector<std::string> failureDomains{"a", "b", "c"};
     std::uint32_t instancesPerDomain = 2;
     router_hash hash = router_hash::Modulo;
+    /**
+     * Caller addresses of each failure domain. Zero: one address for 60,000 flows. Admission
+     * control decides by the caller's address, so a scenario with overload needs many.
+     */
+    std::uint32_t callersPerDomain = 0;
     std::chrono::milliseconds length{20'000};
     std::chrono::milliseconds settle{3'000}; ///< Between the start of the instances and the load.
     std::vector<scenario_service> services;
--- a/tests/emulator/emulation_samples.h
+++ b/tests/emulator/emulation_samples.h
@@ -47,7 +47,7 @@
 
 inline scenario_event event(const std::string &kind, std::chrono::milliseconds at,
                             std::chrono::milliseconds length, std::uint32_t count = 1,
-                            std::uint32_t strength = 1)
+                            double strength = 1)
 {
     scenario_event made;
     made.kind = kind;
