Emulator: print refusals and waits in experiments

The table shows requests that full servers reject, flows that instances refuse, and results and waits by kind of request and by failure domain of the callers.

--- a/packages/emulator/experiment.cpp
+++ b/packages/emulator/experiment.cpp
@@ -76,6 +76,32 @@
     return days.empty() ? 0 : sum / static_cast<double>(days.size());
 }
 
+void addCounts(outcome_counts &sum, const outcome_counts &day)
+{
+    sum.inGoal += day.inGoal;
+    sum.late += day.late;
+    sum.failed += day.failed;
+}
+
+void addCounts(wait_times &sum, const wait_times &day)
+{
+    sum.add(day);
+}
+
+/** Adds up the counts of a group, for example a kind of request, over the days. */
+template <typename Counts>
+std::map<std::string, Counts> totals(const std::vector<emulation_report> &days,
+                                     std::map<std::string, Counts> emulation_report::*groups)
+{
+    std::map<std::string, Counts> sums;
+    for (const emulation_report &day : days) {
+        for (const auto &[name, counts] : day.*groups) {
+            addCounts(sums[name], counts);
+        }
+    }
+    return sums;
+}
+
 result<experiment_row> playRow(const experiment_plan &plan, const Json::Value &root)
 {
     const result<scenario> read = readScenario(plan.file, root);
@@ -117,6 +143,45 @@
     return text;
 }
 
+std::string share(std::uint64_t part, std::uint64_t whole)
+{
+    return padded(
+            whole == 0 ? "-"
+                       : formatted("%.4f", static_cast<double>(part) / static_cast<double>(whole)),
+            9);
+}
+
+std::string renderGroups(const std::string &title,
+                         const std::map<std::string, outcome_counts> &outcomes,
+                         const std::map<std::string, wait_times> &waits)
+{
+    std::string text;
+    for (const auto &[name, counts] : outcomes) {
+        const auto found = waits.find(name);
+        const wait_times wait = found == waits.end() ? wait_times{} : found->second;
+        text += padded(title + " " + name, 22) + padded(std::to_string(counts.asked()), 10)
+                + share(counts.inGoal, counts.asked()) + share(counts.late, counts.asked())
+                + share(counts.failed, counts.asked())
+                + padded(std::to_string(wait.quantile(0.5).count()), 11)
+                + padded(std::to_string(wait.quantile(0.99).count()), 8) + "\n";
+    }
+    return text;
+}
+
+std::string renderLoad(const experiment_report &report, const experiment_row &row)
+{
+    std::string text = "\n" + (row.value.empty() ? "" : report.key + "=" + row.value + ": ")
+                       + "each day " + formatted("%.1f", row.rejectedByServers())
+                       + " requests rejected and " + formatted("%.1f", row.ignoredOpenings())
+                       + " opening packets ignored by full servers, "
+                       + formatted("%.1f", row.loadShed()) + " flows refused by instances\n"
+                       + padded("", 22)
+                       + "  requests  in goal     late   failed  median ms  p99 ms\n";
+    text += renderGroups("traffic", row.outcomesByTraffic(), row.waitsByTraffic());
+    text += renderGroups("callers of", row.outcomesByDomain(), row.waitsByDomain());
+    return text;
+}
+
 } // namespace
 
 double experiment_row::meanInGoal() const
@@ -163,6 +228,46 @@
            / loadSeconds;
 }
 
+double experiment_row::loadShed() const
+{
+    return mean(days,
+                [](const emulation_report &day) { return static_cast<double>(day.loadShed); });
+}
+
+double experiment_row::rejectedByServers() const
+{
+    return mean(days, [](const emulation_report &day) {
+        return static_cast<double>(day.rejectedByServers);
+    });
+}
+
+double experiment_row::ignoredOpenings() const
+{
+    return mean(days, [](const emulation_report &day) {
+        return static_cast<double>(day.ignoredOpenings);
+    });
+}
+
+std::map<std::string, outcome_counts> experiment_row::outcomesByTraffic() const
+{
+    return totals(days, &emulation_report::byTraffic);
+}
+
+std::map<std::string, outcome_counts> experiment_row::outcomesByDomain() const
+{
+    return totals(days, &emulation_report::byDomain);
+}
+
+std::map<std::string, wait_times> experiment_row::waitsByTraffic() const
+{
+    return totals(days, &emulation_report::waitsByTraffic);
+}
+
+std::map<std::string, wait_times> experiment_row::waitsByDomain() const
+{
+    return totals(days, &emulation_report::waitsByDomain);
+}
+
 std::uint64_t experiment_row::brokenRules() const
 {
     std::uint64_t count = 0;
@@ -235,6 +340,9 @@
                 + padded(std::to_string(row.brokenRules()), 8) + "  " + std::string(bar, '#')
                 + "\n";
     }
+    for (const experiment_row &row : report.rows) {
+        text += renderLoad(report, row);
+    }
     std::size_t listed = 0;
     for (const experiment_row &row : report.rows) {
         for (std::size_t i = 0; i < row.days.size(); ++i) {
--- a/packages/emulator/experiment.h
+++ b/packages/emulator/experiment.h
@@ -7,6 +7,7 @@
 #include <json/value.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,6 +49,15 @@
     double storeCallsPerSecond() const;
     double peerMessagesPerSecond() const;
     std::uint64_t brokenRules() const;
+    /** Mean of a day. */
+    double loadShed() const;
+    double rejectedByServers() const;
+    double ignoredOpenings() const;
+    /** Requests of all days by kind, or by failure domain of the callers. */
+    std::map<std::string, outcome_counts> outcomesByTraffic() const;
+    std::map<std::string, outcome_counts> outcomesByDomain() const;
+    std::map<std::string, wait_times> waitsByTraffic() const;
+    std::map<std::string, wait_times> waitsByDomain() const;
 };
 
 /** Results of an experiment. */
