--- a/packages/emulator/experiment.cpp
+++ b/packages/emulator/experiment.cpp
@@ -159,7 +159,9 @@
     for (const auto &[name, counts] : outcomes) {
         const auto found = waits.find(name);
         const wait_times wait = found == waits.end() ? wait_times{} : found->second;
-        text += padded(title + " " + name, 22) + padded(std::to_string(counts.asked()), 10)
+        std::string label = title;
+        label.append(" ").append(name);
+        text += padded(label, 22) + padded(std::to_string(counts.asked()), 10)
                 + share(counts.inGoal, counts.asked()) + share(counts.late, counts.asked())
                 + share(counts.failed, counts.asked())
                 + padded(std::to_string(wait.quantile(0.5).count()), 11)
