Platform: make the decoders of routes and services available

The check of a desired state before it is sent needs the decoders of single routes, services, ports and of the idle timeout. They are moved out of the anonymous namespace unchanged; the decoder of whole objects calls them as before.

--- a/packages/platform/object_codec.cpp
+++ b/packages/platform/object_codec.cpp
@@ -187,57 +187,6 @@
     return store_value(entry);
 }
 
-/** Decodes a route's "pathPrefix", which holds the port between slashes, for example "/8443/". */
-std::optional<std::uint16_t> decodeRoutePort(const std::string &text)
-{
-    if (text.size() < 3 || text.front() != '/' || text.back() != '/') {
-        return std::nullopt;
-    }
-    std::uint16_t port = 0;
-    const char *first = text.data() + 1;
-    const char *last = text.data() + text.size() - 1;
-    const auto parsed = std::from_chars(first, last, port);
-    if (parsed.ec != std::errc() || parsed.ptr != last) {
-        return std::nullopt;
-    }
-    return port;
-}
-
-result<route> decodeRoute(const Json::Value &object)
-{
-    member_reader members(object);
-    route item;
-    item.name = members.text("name");
-    // "host" holds the route's public address.
-    const auto address = ip_address::parse(members.text("host"));
-    const auto port = decodeRoutePort(members.text("pathPrefix"));
-    item.idempotent = members.text("kind") == "idempotent";
-    item.priority = static_cast<std::uint32_t>(members.numberOr("priority", 0));
-    item.goal = members.millisOr("goalMs", 0);
-    item.timeout = members.millisOr("timeoutMs", 0);
-    const Json::Value &shares = members.find("backends");
-    if (shares.isArray()) {
-        for (const Json::Value &share : shares) {
-            member_reader shareMembers(share);
-            const std::string service = shareMembers.text("service");
-            const auto weight = static_cast<std::uint32_t>(shareMembers.numberOr("weight", 1));
-            if (!shareMembers.fault().empty()) {
-                return unreadable("route " + item.name + ": " + shareMembers.fault());
-            }
-            if (weight > 0) {
-                item.shares.push_back({service, weight});
-            }
-        }
-    } else {
-        item.shares.push_back({members.text("service"), 1});
-    }
-    if (!members.fault().empty() || !isOk(address) || !port) {
-        return unreadable("route " + item.name + ": " + members.fault());
-    }
-    item.address = endpoint{valueOf(address), *port};
-    return item;
-}
-
 decoded_value decodeDesiredState(const Json::Value &spec)
 {
     member_reader members(spec);
@@ -251,20 +200,13 @@
         state.routes.push_back(std::move(valueOf(item)));
     }
     for (const Json::Value &object : members.find("services")) {
-        member_reader service(object);
-        service_limits limits;
-        limits.name = service.text("name");
-        limits.maxConnections = static_cast<std::uint32_t>(service.numberOr("maxConns", 0));
-        const std::chrono::duration<double> cold(service.realOr("coldS", 0));
-        limits.coldDuration = std::chrono::duration_cast<std::chrono::milliseconds>(cold);
-        limits.coldRequestsPerSecond = service.realOr("coldPerS", 0);
-        if (!service.fault().empty()) {
-            return unreadable("service " + limits.name + ": " + service.fault());
+        auto limits = decodeServiceLimits(object);
+        if (!isOk(limits)) {
+            return errorOf(limits);
         }
-        state.services.push_back(std::move(limits));
+        state.services.push_back(std::move(valueOf(limits)));
     }
-    member_reader limits(members.find("limits"));
-    state.idleTimeout = limits.millisOr("idleTimeoutMs", 0);
+    state.idleTimeout = decodeIdleTimeout(members.find("limits"));
     if (!members.fault().empty()) {
         return unreadable(members.fault());
     }
@@ -422,6 +364,76 @@
 
 } // namespace
 
+std::optional<std::uint16_t> decodeRoutePort(const std::string &text)
+{
+    if (text.size() < 3 || text.front() != '/' || text.back() != '/') {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char *first = text.data() + 1;
+    const char *last = text.data() + text.size() - 1;
+    const auto parsed = std::from_chars(first, last, port);
+    if (parsed.ec != std::errc() || parsed.ptr != last) {
+        return std::nullopt;
+    }
+    return port;
+}
+
+result<route> decodeRoute(const Json::Value &object)
+{
+    member_reader members(object);
+    route item;
+    item.name = members.text("name");
+    // "host" holds the route's public address.
+    const auto address = ip_address::parse(members.text("host"));
+    const auto port = decodeRoutePort(members.text("pathPrefix"));
+    item.idempotent = members.text("kind") == "idempotent";
+    item.priority = static_cast<std::uint32_t>(members.numberOr("priority", 0));
+    item.goal = members.millisOr("goalMs", 0);
+    item.timeout = members.millisOr("timeoutMs", 0);
+    const Json::Value &shares = members.find("backends");
+    if (shares.isArray()) {
+        for (const Json::Value &share : shares) {
+            member_reader shareMembers(share);
+            const std::string service = shareMembers.text("service");
+            const auto weight = static_cast<std::uint32_t>(shareMembers.numberOr("weight", 1));
+            if (!shareMembers.fault().empty()) {
+                return unreadable("route " + item.name + ": " + shareMembers.fault());
+            }
+            if (weight > 0) {
+                item.shares.push_back({service, weight});
+            }
+        }
+    } else {
+        item.shares.push_back({members.text("service"), 1});
+    }
+    if (!members.fault().empty() || !isOk(address) || !port) {
+        return unreadable("route " + item.name + ": " + members.fault());
+    }
+    item.address = endpoint{valueOf(address), *port};
+    return item;
+}
+
+result<service_limits> decodeServiceLimits(const Json::Value &object)
+{
+    member_reader service(object);
+    service_limits limits;
+    limits.name = service.text("name");
+    limits.maxConnections = static_cast<std::uint32_t>(service.numberOr("maxConns", 0));
+    const std::chrono::duration<double> cold(service.realOr("coldS", 0));
+    limits.coldDuration = std::chrono::duration_cast<std::chrono::milliseconds>(cold);
+    limits.coldRequestsPerSecond = service.realOr("coldPerS", 0);
+    if (!service.fault().empty()) {
+        return unreadable("service " + limits.name + ": " + service.fault());
+    }
+    return limits;
+}
+
+std::chrono::milliseconds decodeIdleTimeout(const Json::Value &limits)
+{
+    return member_reader(limits).millisOr("idleTimeoutMs", 0);
+}
+
 std::optional<server_key> decodeServerKey(const std::string &id)
 {
     // The key follows a prefix such as "i-" in hexadecimal.
--- a/packages/platform/object_codec.h
+++ b/packages/platform/object_codec.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include "core/result.h"
 #include "forwarding/process/store_call.h"
 
+#include <json/value.h>
+
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace ebonyway::platform {
@@ -29,4 +34,19 @@
  */
 std::optional<server_key> decodeServerKey(const std::string &id);
 
+/**
+ * Decodes a route's "pathPrefix", which holds the port between slashes, for example "/8443/".
+ * Returns std::nullopt if it does not have this form or the port exceeds 65535.
+ */
+std::optional<std::uint16_t> decodeRoutePort(const std::string &text);
+
+/** Decodes an entry of "routes". Backend shares with weight 0 are left out. */
+result<route> decodeRoute(const Json::Value &object);
+
+/** Decodes an entry of "services". */
+result<service_limits> decodeServiceLimits(const Json::Value &object);
+
+/** Decodes the idle timeout from the object "limits". Returns zero if it is missing. */
+std::chrono::milliseconds decodeIdleTimeout(const Json::Value &limits);
+
 } // namespace ebonyway::platform
