--- a/packages/forwarding/connection/forwarder.cpp
+++ b/packages/forwarding/connection/forwarder.cpp
@@ -10,10 +10,6 @@
 
 using namespace std::chrono_literals;
 
-// Time without packets after which an open flow is removed from the table, unless the desired state
-// sets another one.
-constexpr duration DefaultIdleTimeout = 15s;
-
 // Number of the last copy of an opening packet. Callers send the original, number 0, and two
 // copies. The last copy is the last packet that a reset can answer before the caller gives up.
 constexpr std::uint32_t LastCopyNumber = 2;
--- a/packages/forwarding/version/store_objects.h
+++ b/packages/forwarding/version/store_objects.h
@@ -131,6 +131,9 @@
     }
 };
 
+/** Time without packets after which a flow has ended, unless the desired state sets another. */
+constexpr std::chrono::milliseconds DefaultIdleTimeout{15'000};
+
 /** Desired state set by the operators. Each new one has a higher version. */
 struct desired_state
 {
