Command: check-state, to check a desired state before it is sent

Exit code 10 stands for warnings only; 0, 2, 3 and 5 keep their meaning. No platform address is needed. The golden files of the help and of refusals gain the new command.

--- a/packages/ebonyway/command_options.cpp
+++ b/packages/ebonyway/command_options.cpp
@@ -18,11 +18,17 @@
     const char *details;
 };
 
-constexpr std::array<command_help, 8> Commands{{
+constexpr std::array<command_help, 9> Commands{{
         {"check", "FILE", "Checks a release note and shows its effect",
          "Reads the release note in FILE, checks it whole against what is in force, and says in "
          "plain\n"
          "words what it would change. Nothing is accepted.\n"},
+        {"check-state", "FILE [--against FILE]", "Checks a desired state before it is sent",
+         "Checks the desired state in FILE, the content of the store object config/main, and "
+         "lists\n"
+         "errors and warnings with their places and remedies. The platform is not called.\n"
+         "  --against FILE   Also list the differences from the desired state in this file, and\n"
+         "                   require a higher version\n"},
         {"accept", "FILE", "Accepts a release note",
          "Checks the release note in FILE and accepts it. Once it is accepted, it runs on every\n"
          "instance within seconds. If another operator was first, nothing changes and the command\n"
@@ -62,7 +68,8 @@
         "  1 internal fault        6 the platform or an instance did not answer\n"
         "  2 wrong command line    7 outcome unknown: run the same command again\n"
         "  3 invalid input         8 a limit was reached\n"
-        "  4 another was first     9 not authenticated\n";
+        "  4 another was first     9 not authenticated\n"
+        "                         10 warnings, but no errors (check-state)\n";
 
 const command_help *findCommand(const std::string &name)
 {
@@ -79,6 +86,7 @@
     InstanceOption,
     AuthorOption,
     SvgOption,
+    AgainstOption,
     CountOption,
     JsonOption,
     HelpOption,
@@ -105,6 +113,8 @@
         options.author = text;
     } else if (code == SvgOption) {
         options.svgFile = text;
+    } else if (code == AgainstOption) {
+        options.against = text;
     }
     return {};
 }
@@ -145,11 +155,12 @@
 {
     command_options options;
     int count = static_cast<int>(options.count);
-    const std::array<poptOption, 8> table{{
+    const std::array<poptOption, 9> table{{
             {"platform", 0, POPT_ARG_STRING, nullptr, PlatformOption, nullptr, nullptr},
             {"instance", 0, POPT_ARG_STRING, nullptr, InstanceOption, nullptr, nullptr},
             {"author", 0, POPT_ARG_STRING, nullptr, AuthorOption, nullptr, nullptr},
             {"svg", 0, POPT_ARG_STRING, nullptr, SvgOption, nullptr, nullptr},
+            {"against", 0, POPT_ARG_STRING, nullptr, AgainstOption, nullptr, nullptr},
             {"count", 0, POPT_ARG_INT, &count, CountOption, nullptr, nullptr},
             {"json", 0, POPT_ARG_NONE, nullptr, JsonOption, nullptr, nullptr},
             {"help", 'h', POPT_ARG_NONE, nullptr, HelpOption, nullptr, nullptr},
@@ -203,4 +214,9 @@
     return findCommand(name) != nullptr;
 }
 
+bool needsPlatform(const std::string &name)
+{
+    return isCommand(name) && name != "check-state";
+}
+
 } // namespace ebonyway
--- a/packages/ebonyway/command_options.h
+++ b/packages/ebonyway/command_options.h
@@ -18,6 +18,7 @@
     std::vector<endpoint> instances; ///< Status addresses.
     std::string author;
     std::string svgFile; ///< Where `burn` writes its image; empty for none.
+    std::string against; ///< File that `check-state` compares with; empty for none.
     std::uint32_t count = 10; ///< Notes that `history` shows.
     bool json = false;
     bool help = false;
@@ -37,4 +38,7 @@
 /** Returns whether there is such a subcommand. */
 bool isCommand(const std::string &name);
 
+/** Returns whether the subcommand calls the platform. */
+bool needsPlatform(const std::string &name);
+
 } // namespace ebonyway
--- a/packages/ebonyway/main.cpp
+++ b/packages/ebonyway/main.cpp
@@ -68,7 +68,7 @@
         return failureOutcome(errorOf(options), false, UsageExitCode);
     }
     const command_options &read = valueOf(options);
-    if (read.platform.port == 0 && !read.help && isCommand(read.command)) {
+    if (read.platform.port == 0 && !read.help && needsPlatform(read.command)) {
         const error missing{error_kind::InvalidInput, "the platform's address is not given",
                             "Use --platform ADDRESS:PORT or set EBONYWAY_PLATFORM."};
         return failureOutcome(missing, read.json, UsageExitCode);
--- a/packages/ebonyway/operator_commands.cpp
+++ b/packages/ebonyway/operator_commands.cpp
@@ -1,6 +1,7 @@
 #include "ebonyway/operator_commands.h"
 
 #include "core/json_text.h"
+#include "ebonyway/check_state_command.h"
 #include "process/burn_report.h"
 #include "version/release_note.h"
 #include "version/route_plan.h"
@@ -26,7 +27,8 @@
 {
     const std::string &command = options.command;
     const bool changesDomain = command == "take-out" || command == "bring-back";
-    const bool needsArgument = command == "check" || command == "accept" || changesDomain;
+    const bool needsArgument =
+            command == "check" || command == "check-state" || command == "accept" || changesDomain;
     if (options.arguments.size() != (needsArgument ? 1U : 0U)) {
         const char *rule = needsArgument ? " needs exactly one argument" : " takes no argument";
         return wrongUsage(command + rule, command);
@@ -171,6 +173,9 @@
     if (const std::optional<error> fault = usageFault(options)) {
         return failureOutcome(*fault, options.json, UsageExitCode);
     }
+    if (options.command == "check-state") {
+        return runCheckState(options, m_edges);
+    }
     const result<report> outcome = dispatch(options);
     if (!isOk(outcome)) {
         const error &failure = errorOf(outcome);
--- a/tests/ebonyway/operator_session_test.cpp
+++ b/tests/ebonyway/operator_session_test.cpp
@@ -115,6 +115,8 @@
     run("delete");
     run("check");
     run("check missing.json");
+    run("check-state");
+    run("check-state missing.json");
     run("status --instance casa");
     run("status --colour");
     run("history --count 0");
@@ -139,8 +141,8 @@
 TEST_CASE_FIXTURE(operator_session_fixture, "help and JSON, every command, as written")
 {
     run("--help");
-    for (const char *command :
-         {"check", "accept", "history", "status", "take-out", "bring-back", "burn"}) {
+    for (const char *command : {"check", "check-state", "accept", "history", "status", "take-out",
+                                "bring-back", "burn"}) {
         run(std::string(command) + " --help");
     }
     run("accept start.json --json");
