Forwarding: learn the work time from a lightly loaded service only

The first answer set the work time, also in an overload. While nothing is known of a service's load, it no longer counts as light.

--- a/packages/forwarding/connection/demand_meter.cpp
+++ b/packages/forwarding/connection/demand_meter.cpp
@@ -70,7 +70,8 @@
     found->pending -= std::min(found->pending, 1U);
     duration &workTime = found->smoothed.workTime;
     if (workTime == duration::zero()) {
-        workTime = time;
+        // Waits of a loaded service would pass for work, and callers would be refused with room.
+        workTime = m_lightlyLoaded.contains(service) ? time : duration::zero();
     } else if (m_lightlyLoaded.contains(service)) {
         workTime += (time - workTime) / WorkTimeGain;
         found->loadedAnswerTime = duration::zero();
--- a/packages/forwarding/connection/flow_admission.cpp
+++ b/packages/forwarding/connection/flow_admission.cpp
@@ -28,8 +28,9 @@
 // requests, so more has to be refused than the model says.
 constexpr double QueuePressure = 3.0;
 
-// Requests per slot up to which answer times show the work time: few requests wait for a slot.
-constexpr double LightPressure = 0.6;
+// Requests per slot up to which answer times show the work time: some slots are idle, and waits
+// add less than half to the work.
+constexpr double LightPressure = 0.8;
 
 // Bounds of the factor that corrects the capacity, and its change per second. It falls slowly
 // compared with the age of the reports, about a second: at 0.1 a second it went on falling after
@@ -114,7 +115,8 @@
     for (const admission_demand &one : input.demands) {
         underWay += one.demand.underWay;
     }
-    state.pressure = input.slots > 0 ? underWay / input.slots : 0;
+    state.hasSlots = input.slots > 0;
+    state.pressure = state.hasSlots ? underWay / input.slots : 0;
     state.workTime = meanWorkTime(input);
     updateCapacity(state, elapsed);
     std::vector<admission_group> groups;
@@ -222,7 +224,8 @@
 
 bool flow_admission::isLightlyLoaded(std::uint32_t service) const
 {
-    return pressure(service) < LightPressure;
+    const service_state *state = find(service);
+    return state && state->hasSlots && state->pressure < LightPressure;
 }
 
 std::vector<admission_change> flow_admission::takeChanges()
--- a/packages/forwarding/connection/flow_admission.h
+++ b/packages/forwarding/connection/flow_admission.h
@@ -79,7 +79,7 @@
      * would also refuse those that have been let through.
      */
     duration expectedDelay(std::uint32_t service) const;
-    /** Returns whether servers of the service hardly queue requests. */
+    /** Returns whether servers of the service hardly queue requests; false if that is unknown. */
     bool isLightlyLoaded(std::uint32_t service) const;
 
     /** Returns and clears the changes since the last call. */
@@ -88,6 +88,7 @@
 private:
     struct service_state
     {
+        bool hasSlots = false;
         double pressure = 0;
         duration workTime{};
         bool shedding = false;
