--- a/packages/forwarding/connection/demand_meter.h
+++ b/packages/forwarding/connection/demand_meter.h
@@ -12,8 +12,8 @@
 namespace ebonyway {
 
 /**
- * Measures the demand that this instance sees for each service and route, smoothed over half a second.
- * Runs on the traffic thread and receives the time as a parameter.
+ * Measures the demand that this instance sees for each service and route, smoothed over half a
+ * second. Runs on the traffic thread and receives the time as a parameter.
  */
 class demand_meter
 {
