--- a/packages/forwarding/edge/traffic_loop.cpp
+++ b/packages/forwarding/edge/traffic_loop.cpp
@@ -17,11 +17,11 @@
 
 } // namespace
 
-traffic_loop::traffic_loop(const deployment_adapter &adapter, forwarder_options options,
+traffic_loop::traffic_loop(const deployment_adapter &adapter, const forwarder_options &options,
                            event_log &log, metrics_registry &metrics, load_handler onLoads)
     : m_adapter(adapter)
     , m_decisions(log, m_counters, metrics)
-    , m_forwarder(std::move(options), m_decisions)
+    , m_forwarder(options, m_decisions)
     , m_onLoads(std::move(onLoads))
     , m_socket(*this, 0)
 { }
--- a/packages/forwarding/edge/traffic_loop.h
+++ b/packages/forwarding/edge/traffic_loop.h
@@ -24,8 +24,8 @@
     using load_handler =
             std::function<void(std::vector<peer_server_load>, std::vector<service_demand>)>;
 
-    traffic_loop(const deployment_adapter &adapter, forwarder_options options, event_log &log,
-                 metrics_registry &metrics, load_handler onLoads);
+    traffic_loop(const deployment_adapter &adapter, const forwarder_options &options,
+                 event_log &log, metrics_registry &metrics, load_handler onLoads);
 
     /** Binds the socket and starts the thread. Returns Unavailable if the bind fails. */
     status start(const endpoint &local);
